--- /dev/null
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -0,0 +1,940 @@
+package tinlink.decision;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The decision module: every decision, table and tuned value of a query router.
+ *
+ * <p>Callers use it through the interface in {@code Aggregator.java}: build one instance for each router from
+ * the parts below, each from its few settings; tell it each input; then pull decisions through {@code decide}
+ * until it says false. Decisions leave by the calls in {@code Host.java}. docs/design.md says why.
+ */
+public final class FastestValid implements Aggregator {
+    private static final long NEVER = Long.MAX_VALUE;
+    /** Sums of part weights may be this much short. */
+    private static final double SLACK = 1e-4;
+
+    private final Rounds rounds;
+    private final Replicas replicas;
+    private final Health health;
+    private final ColdGuard cold;
+    private final Budget budget;
+    private final Admission admission;
+    private final ListFollowing list;
+
+    /** Lookups in hand; each leaves with its final answer or its client. */
+    private final ArrayList<Lookup> open = new ArrayList<>();
+    /** Lookups with news, part calls to send, calls that serve nobody: all emptied within the turn. */
+    private final ArrayDeque<Lookup> touched = new ArrayDeque<>();
+    private final ArrayDeque<PartCall> outbox = new ArrayDeque<>();
+    private final ArrayDeque<PartCall> surplus = new ArrayDeque<>();
+    private long now;
+    private long armed = NEVER;
+
+    public FastestValid(Rounds rounds, Replicas replicas, Health health, ColdGuard cold, Budget budget,
+                        Admission admission, ListFollowing list) {
+        this.rounds = rounds;
+        this.replicas = replicas;
+        this.health = health;
+        this.cold = cold;
+        this.budget = budget;
+        this.admission = admission;
+        this.list = list;
+    }
+
+    // ---- Inputs: they only update what is known. ----
+
+    @Override
+    public void clock(long nowUs) {
+        now = nowUs;
+    }
+
+    @Override
+    public void lookup(Lookup lk) {
+        lk.arrivedAt = now;
+        rounds.begin(lk, now);
+        open.add(lk);
+        budget.took(now, false);
+        touch(lk);
+    }
+
+    @Override
+    public void part(Part p) {
+        p.lookup.parts.add(p);
+        budget.took(now, true);
+        touch(p.lookup);
+    }
+
+    @Override
+    public void outcome(PartCall c, Outcome how, long tookUs, long reportedLatencyUs) {
+        c.outcome = how;
+        Part p = c.part;
+        p.out--;
+        Seen s = replicas.seen(c.node);
+        if (--c.shared.open == 0) {
+            s.calls--;
+        }
+        health.outcome(s, c, how, tookUs, p.lookup.roundUs, now);
+        replicas.forgetIfGone(s);
+        if (p.lookup.ended) {
+            return;
+        }
+        if (how == Outcome.SATISFIED && !p.satisfied) {
+            p.satisfied = true;
+            cancelOut(p);
+        }
+        touch(p.lookup);
+    }
+
+    @Override
+    public void listed(DataNode node, boolean restarted) {
+        replicas.listed(node, restarted);
+    }
+
+    @Override
+    public void nodes(News news) {
+        list.news(news, now);
+        for (Lookup lk : open) {
+            touch(lk);
+        }
+    }
+
+    @Override
+    public void probed(DataNode node, Outcome how, long tookUs, long reportedLatencyUs) {
+        // A probe proves that a process runs, not that it answers: nothing here rests on one.
+    }
+
+    @Override
+    public void timer() {
+        if (now >= armed) {
+            armed = NEVER;
+        }
+        for (Lookup lk : open) {
+            if (lk.lookAt <= now) {
+                touch(lk);
+            }
+        }
+    }
+
+    @Override
+    public void clientGone(Lookup lk) {
+        end(lk);
+    }
+
+    private void touch(Lookup lk) {
+        if (!lk.touched) {
+            lk.touched = true;
+            touched.add(lk);
+        }
+    }
+
+    private void cancelOut(Part p) {
+        for (PartCall c : p.calls) {
+            if (c.outcome == null && !c.cancelled) {
+                surplus.add(c);
+            }
+        }
+    }
+
+    private void end(Lookup lk) {
+        lk.ended = true;
+        open.remove(lk);
+        for (Part p : lk.parts) {
+            cancelOut(p);
+        }
+    }
+
+    // ---- Decisions: one a call. ----
+
+    @Override
+    public boolean decide(Host h) {
+        if (!outbox.isEmpty()) {
+            PartCall c = outbox.poll();
+            h.send(c, Math.max(1, c.part.lookup.endAt - now));
+            return true;
+        }
+        while (!surplus.isEmpty()) {
+            PartCall c = surplus.poll();
+            if (rounds.mayCancel && c.outcome == null && !c.cancelled) {
+                c.cancelled = true;
+                h.cancel(c);
+                return true;
+            }
+        }
+        if (list.due(now)) {
+            h.followList();
+            return true;
+        }
+        while (!touched.isEmpty()) {
+            Lookup lk = touched.peek();
+            if (!lk.ended && step(lk, h)) {
+                return true;
+            }
+            lk.touched = false;
+            touched.poll();
+        }
+        long next = list.nextAt;
+        for (Lookup lk : open) {
+            next = Math.min(next, lk.lookAt);
+        }
+        if (next < armed) {
+            armed = next;
+            h.wake(next);
+            return true;
+        }
+        return false;
+    }
+
+    /** The next decision for one lookup; false when it only has to wait, until lookAt at the latest. */
+    private boolean step(Lookup lk, Host h) {
+        double in = weightIn(lk);
+        boolean allThere = lk.parts.size() >= lk.announced;
+        // The n-th valid part ends the query (design page); a second step needs all of its parts.
+        if (allThere && in >= needed(lk) - SLACK) {
+            return answer(lk, h, !lk.secondStep || lk.firstWhole);
+        }
+        if (now >= lk.endAt || (allThere && hopeless(lk, in))) {
+            return giveUp(lk, h, in);
+        }
+        lk.lookAt = lk.endAt;
+        if (!allThere) {
+            return false;
+        }
+        if (!lk.started) {
+            if (admission.refuses(lk, now) && rounds.mayNack(lk)) {
+                end(lk);
+                h.nack(lk, admission.comeBack(lk));
+                return true;
+            }
+            lk.started = true;
+            lk.startedAt = now;
+            // All k parts leave together.
+            place(lk, lk.parts, false);
+            lk.lookAt = Math.min(lk.endAt, now + lk.roundUs);
+            return !outbox.isEmpty() || step(lk, h);
+        }
+        if (!lk.replayed && now >= lk.startedAt + lk.roundUs) {
+            lk.replayed = true;
+            replay(lk, in);
+        }
+        sendAgain(lk, in);
+        if (!lk.replayed) {
+            lk.lookAt = Math.min(lk.lookAt, lk.startedAt + lk.roundUs);
+        }
+        return !outbox.isEmpty() || !surplus.isEmpty();
+    }
+
+    private double weightIn(Lookup lk) {
+        double in = 0;
+        for (Part p : lk.parts) {
+            in += p.satisfied ? p.weight : 0;
+        }
+        return in;
+    }
+
+    private double needed(Lookup lk) {
+        return lk.secondStep ? 1 : lk.index.need;
+    }
+
+    /** Too few parts are in, out or still to be sent; where a partial answer may do, out ones are awaited. */
+    private boolean hopeless(Lookup lk, double in) {
+        double may = in;
+        boolean out = false;
+        for (Part p : lk.parts) {
+            if (!p.satisfied && (p.out > 0 || rounds.mayCall(p, now) && replicas.held(p))) {
+                may += p.weight;
+                out |= p.out > 0;
+            }
+        }
+        return may < needed(lk) - SLACK && !(out && lk.index.floor < lk.index.need);
+    }
+
+    private boolean answer(Lookup lk, Host h, boolean whole) {
+        if (lk.index.secondStep > 0 && !lk.secondStep) {
+            int satisfied = 0;
+            for (Part p : lk.parts) {
+                satisfied += p.satisfied ? 1 : 0;
+                cancelOut(p);
+            }
+            lk.secondStep = true;
+            lk.firstWhole = whole;
+            lk.announced = Math.min(lk.index.secondStep, satisfied);
+            lk.parts = new ArrayList<>();
+            rounds.begin(lk, now);
+        } else {
+            end(lk);
+        }
+        h.answer(lk, whole);
+        return true;
+    }
+
+    /** Short of n: a partial answer above the floor, a nack where nothing forbids it, else an abort. */
+    private boolean giveUp(Lookup lk, Host h, double in) {
+        double floor = lk.secondStep && lk.index.floor >= lk.index.need ? 1 : lk.index.floor;
+        if (lk.parts.size() >= lk.announced && in > 0 && in >= floor - SLACK) {
+            return answer(lk, h, false);
+        }
+        boolean nack = now < lk.endAt && rounds.mayNack(lk);
+        end(lk);
+        if (nack) {
+            h.nack(lk, admission.comeBack(lk));
+        } else {
+            h.abort(lk);
+        }
+        return true;
+    }
+
+    /** After the silent first round: missing parts still short of n go once more, to another replica. */
+    private void replay(Lookup lk, double in) {
+        List<Part> silent = new ArrayList<>();
+        for (Part p : lk.parts) {
+            for (PartCall c : p.calls) {
+                if (c.outcome == null && !c.seenSilent) {
+                    c.seenSilent = true;
+                    health.silent(replicas.seen(c.node), c, lk.roundUs, now);
+                }
+            }
+            if (!p.satisfied && p.out > 0) {
+                silent.add(p);
+            }
+        }
+        // When most nodes look bad the cause is shared, and a second copy only adds to it.
+        if (health.sharedTrouble(replicas.ready(), now)) {
+            return;
+        }
+        silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
+        double missing = needed(lk) - SLACK - in;
+        for (Part p : silent) {
+            if (missing <= 0) {
+                break;
+            }
+            if (rounds.mayCall(p, now) && budget.mayReplay(now)) {
+                if (place(lk, List.of(p), true)) {
+                    missing -= p.weight;
+                }
+            } else if (rounds.mayGiveUpSilent(p) && lastNode(p).lastGoodAt < p.calls.get(0).sentAt
+                    && budget.mayReplay(now)) {
+                // No second copies here: a node that has answered nothing since loses the part (departure).
+                budget.replayed(now);
+                p.resendAsReplay = true;
+                cancelOut(p);
+                missing -= p.weight;
+            }
+        }
+    }
+
+    private Seen lastNode(Part p) {
+        return replicas.seen(p.calls.get(p.calls.size() - 1).node);
+    }
+
+    /** Parts that were never sent, or whose part calls all ended without an answer. */
+    private void sendAgain(Lookup lk, double in) {
+        double may = in;
+        for (Part p : lk.parts) {
+            may += !p.satisfied && p.out > 0 ? p.weight : 0;
+        }
+        for (Part p : lk.parts) {
+            if (p.satisfied || p.out > 0 || !rounds.mayCall(p, now) || may >= needed(lk) - SLACK) {
+                continue;
+            }
+            if (now >= p.sendAt && (p.calls.isEmpty() || p.resendAsReplay || budget.mayResend(now))
+                    && place(lk, List.of(p), false)) {
+                may += p.weight;
+                p.resendAsReplay = false;
+            } else {
+                // No node may take it now: look again within the round, not on every input.
+                p.sendAt = Math.max(p.sendAt, now + lk.roundUs / 4);
+                lk.lookAt = Math.min(lk.lookAt, p.sendAt);
+            }
+        }
+    }
+
+    /** Picks a replica for each part by the companion and puts the part calls into the outbox. */
+    private boolean place(Lookup lk, List<Part> parts, boolean replay) {
+        List<Part> todo = new ArrayList<>(parts);
+        boolean any = false;
+        while (!todo.isEmpty()) {
+            Seen s = replicas.pick(todo, lk, health, cold, replay, now);
+            if (s == null) {
+                break;
+            }
+            int room = replicas.room(s, now);
+            for (int i = 0; i < todo.size() && room > 0; ) {
+                Part p = todo.get(i);
+                if (!replicas.fits(s, p, replay) || !cold.admits(s, replicas, now)) {
+                    i++;
+                    continue;
+                }
+                todo.remove(i);
+                room--;
+                any = true;
+                if (replay) {
+                    budget.replayed(now);
+                } else if (!p.calls.isEmpty() && !p.resendAsReplay) {
+                    budget.resent(now);
+                }
+                cold.sent(s, now);
+                PartCall c = new PartCall();
+                c.part = p;
+                c.node = s.node;
+                c.number = p.calls.size();
+                c.sentAt = now;
+                c.replay = replay;
+                c.shared = replicas.share(s, now);
+                p.calls.add(c);
+                p.out++;
+                outbox.add(c);
+                if (health.benched(s, now)) {
+                    health.tried(s, lk.roundUs, now);
+                    room = 0;
+                }
+            }
+        }
+        return any;
+    }
+
+    /** What this router knows of a data node; dropped when the list says it is gone and no call is out. */
+    static final class Seen {
+        final DataNode node;
+        double smoothedUs;
+        long heardAt = Long.MIN_VALUE / 2;
+        long lastGoodAt = Long.MIN_VALUE / 2;
+        /** Calls out; shared ones count once. */
+        int calls;
+        PartCall.Shared current;
+        long currentAt = Long.MIN_VALUE;
+        /** Share of recent part calls that went bad, smoothed; benched while high. */
+        double bad;
+        long benchUntil = Long.MIN_VALUE;
+        long benchUs;
+        /** Parts satisfied of late, decaying; and sends within the fall time while cold. */
+        double done;
+        long doneAt;
+        final ArrayDeque<Long> coldSends = new ArrayDeque<>();
+
+        Seen(DataNode node) {
+            this.node = node;
+        }
+    }
+
+    /** The rounds of a lookup, and the guard against repeated effects. */
+    public static final class Rounds {
+        private final long stepUs;
+        private final int tryLimit;
+        private final boolean secondCopies;
+        private final boolean mayCancel;
+
+        public Rounds(long stepUs, int tryLimit, boolean secondCopies, boolean mayCancel) {
+            this.stepUs = stepUs;
+            this.tryLimit = tryLimit;
+            this.secondCopies = secondCopies;
+            this.mayCancel = mayCancel;
+        }
+
+        /** A round is a third of the aim; round, replay round and receive-only round end the lookup. */
+        void begin(Lookup lk, long now) {
+            // Two steps of the clock early: a timer fires up to one late, and the client's end is final.
+            long last = Math.max(now, lk.leavesAt - 2 * stepUs);
+            lk.roundUs = Math.max(stepUs, Math.min(lk.index.softUs, last - now) / 3);
+            lk.endAt = Math.min(last, Math.max(lk.arrivedAt + lk.index.softUs, now + 3 * lk.roundUs));
+            lk.lookAt = now;
+            lk.started = false;
+            lk.replayed = false;
+        }
+
+        /** Danger: an effect that happens twice. */
+        boolean mayCall(Part p, long now) {
+            if (p.calls.size() >= tryLimit || p.out > 0 && !secondCopies) {
+                return false;
+            }
+            if (p.lookup.index.effect == Index.Effect.IDEMPOTENT) {
+                return true;
+            }
+            for (PartCall c : p.calls) {
+                if (c.outcome == null || !c.outcome.neverRan) {
+                    // Sent one step of the clock later, it still has to fall within the window.
+                    return p.lookup.index.effect == Index.Effect.FINGERPRINTED
+                            && now + stepUs <= c.sentAt + p.lookup.index.windowUs;
+                }
+            }
+            return true;
+        }
+
+        boolean mayGiveUpSilent(Part p) {
+            return !secondCopies && mayCancel && p.lookup.index.effect == Index.Effect.IDEMPOTENT
+                    && p.calls.size() < tryLimit;
+        }
+
+        /** A nack says that trying again is harmless: not so once a part of the others may have run. */
+        boolean mayNack(Lookup lk) {
+            if (lk.secondStep) {
+                return false;
+            }
+            for (Part p : lk.parts) {
+                for (PartCall c : p.calls) {
+                    if (lk.index.effect != Index.Effect.IDEMPOTENT
+                            && (c.outcome == null || !c.outcome.neverRan)) {
+                        return false;
+                    }
+                }
+            }
+            return true;
+        }
+    }
+
+    /** The companion: which replica serves a part. */
+    public static final class Replicas {
+        private final int cells;
+        private final int reach;
+        private final int bundleMax;
+        private final long callUs;
+        private final Map<DataNode, Seen> known = new LinkedHashMap<>();
+        private final List<List<Seen>> byCell = new ArrayList<>();
+
+        public Replicas(int cells, int reach, int bundleMax, long callUs) {
+            this.cells = cells;
+            this.reach = reach;
+            this.bundleMax = Math.max(1, bundleMax);
+            this.callUs = callUs;
+            for (int i = 0; i < cells; i++) {
+                byCell.add(new ArrayList<>());
+            }
+        }
+
+        void listed(DataNode n, boolean restarted) {
+            Seen s = known.get(n);
+            if (s == null || restarted) {
+                int calls = s == null ? 0 : s.calls;
+                if (s != null) {
+                    byCell.get(Math.floorMod(n.cell, cells)).remove(s);
+                }
+                s = new Seen(n);
+                s.calls = calls;
+                known.put(n, s);
+                byCell.get(Math.floorMod(n.cell, cells)).add(s);
+            }
+            forgetIfGone(s);
+        }
+
+        void forgetIfGone(Seen s) {
+            if (s.node.state == DataNode.State.GONE && s.calls == 0) {
+                known.remove(s.node);
+                byCell.get(Math.floorMod(s.node.cell, cells)).remove(s);
+            }
+        }
+
+        /** Never null: a call may end after its node was forgotten. */
+        Seen seen(DataNode n) {
+            Seen s = known.get(n);
+            return s == null ? new Seen(n) : s;
+        }
+
+        List<Seen> ready() {
+            List<Seen> all = new ArrayList<>();
+            for (Seen s : known.values()) {
+                if (s.node.state == DataNode.State.READY) {
+                    all.add(s);
+                }
+            }
+            return all;
+        }
+
+        boolean held(Part p) {
+            for (int j = 0; j < reach; j++) {
+                for (Seen s : byCell.get((p.shard + j) % cells)) {
+                    if (s.node.state == DataNode.State.READY) {
+                        return true;
+                    }
+                }
+            }
+            return false;
+        }
+
+        private boolean holds(Seen s, Part p) {
+            return Math.floorMod(s.node.cell - p.shard, cells) < reach;
+        }
+
+        /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
+        boolean fits(Seen s, Part p, boolean elsewhere) {
+            return s.node.state == DataNode.State.READY && holds(s, p) && !(elsewhere && tried(s, p));
+        }
+
+        private boolean tried(Seen s, Part p) {
+            for (PartCall c : p.calls) {
+                if (c.node == s.node) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Room in the call that leaves for this node in this turn, or in a new one. */
+        int room(Seen s, long now) {
+            boolean joins = s.currentAt == now && s.current.size < bundleMax;
+            return joins ? bundleMax - s.current.size : bundleMax;
+        }
+
+        PartCall.Shared share(Seen s, long now) {
+            if (s.currentAt != now || s.current.size >= bundleMax) {
+                s.current = new PartCall.Shared();
+                s.currentAt = now;
+                s.calls++;
+            }
+            s.current.size++;
+            s.current.open++;
+            return s.current;
+        }
+
+        /**
+         * The node with the least smoothed latency times its own outstanding calls plus one, for the parts it
+         * could take. Where calls are dear, the cost is spread over the parts that would share the call.
+         * Sound nodes go first, then ones this part has tried, then benched ones.
+         */
+        Seen pick(List<Part> todo, Lookup lk, Health health, ColdGuard cold, boolean replay, long now) {
+            double average = health.average(known.values(), lk.roundUs, now);
+            boolean shared = health.sharedTrouble(ready(), now);
+            double callShare = Math.min(0.9, callUs / Math.max(1, average));
+            Seen best = null;
+            double least = Double.MAX_VALUE;
+            int bestTier = 9;
+            for (Seen s : known.values()) {
+                int fresh = 0;
+                int again = 0;
+                for (Part p : todo) {
+                    if (fits(s, p, replay)) {
+                        again++;
+                        fresh += tried(s, p) ? 0 : 1;
+                    }
+                }
+                if (again == 0 || !cold.admits(s, this, now)) {
+                    continue;
+                }
+                boolean benched = !shared && health.benched(s, now);
+                boolean trial = benched && !replay && health.trialDue(s, now) && lk.index.need < 1;
+                int tier = trial ? 0 : (benched ? 4 : 1) + (fresh == 0 ? 1 : 0);
+                int joined = s.currentAt == now && s.current.size < bundleMax ? 1 : 0;
+                int n = Math.min(room(s, now), fresh > 0 ? fresh : again);
+                double cost = health.latency(s, average, now) * (s.calls - joined + 1)
+                        / (1 - health.badness(s, now)) / cold.present(s, now)
+                        * (1 - callShare + callShare / (joined > 0 ? bundleMax : n));
+                if (tier < bestTier || tier == bestTier && (cost < least || cost == least && older(s, best))) {
+                    best = s;
+                    bestTier = tier;
+                    least = cost;
+                }
+            }
+            return best;
+        }
+
+        private static boolean older(Seen a, Seen b) {
+            return a.node.startedAt != b.node.startedAt ? a.node.startedAt < b.node.startedAt
+                    : a.node.id < b.node.id;
+        }
+    }
+
+    /** How a node is judged, by this router's own part calls alone. */
+    public static final class Health {
+        /** Smoothing weight of the companion: the one figure the design leaves open. */
+        private static final double SMOOTHING = 0.2;
+        private static final double BAD_STEP = 0.25;
+        private static final double BENCH_AT = 0.4;
+        private final long memoryUs;
+
+        /** @param softUs the longest soft deadline of any index; what was seen fades over a few of these */
+        public Health(long softUs) {
+            memoryUs = 4 * softUs;
+        }
+
+        void outcome(Seen s, PartCall c, Outcome how, long tookUs, long roundUs, long now) {
+            switch (how) {
+                case SATISFIED -> {
+                    sample(s, tookUs, now);
+                    s.lastGoodAt = now;
+                    s.bad -= BAD_STEP * s.bad;
+                    if (c.sentAt >= s.benchUntil - s.benchUs) {
+                        s.benchUntil = Long.MIN_VALUE;
+                        s.benchUs /= 2;
+                    }
+                    s.done = doneNow(s, now) + 1;
+                    s.doneAt = now;
+                }
+                case TURNED_AWAY -> sample(s, Math.max(tookUs, roundUs), now);
+                case ERROR, CONNECTION_LOST, NO_CONNECTION -> {
+                    sample(s, Math.max(tookUs, roundUs), now);
+                    bad(s, roundUs, now);
+                }
+                case NO_ANSWER -> sample(s, tookUs, now);
+                default -> {
+                }
+            }
+        }
+
+        /** Danger: a node that takes parts and answers none costs every lookup a round. */
+        void silent(Seen s, PartCall c, long roundUs, long now) {
+            sample(s, Math.max(now - c.sentAt, (long) s.smoothedUs), now);
+            if (s.lastGoodAt < c.sentAt) {
+                bad(s, roundUs, now);
+            }
+        }
+
+        private void bad(Seen s, long roundUs, long now) {
+            s.bad = badness(s, now) + BAD_STEP * (1 - badness(s, now));
+            if (s.bad > BENCH_AT && !benched(s, now)) {
+                s.benchUs = Math.min(memoryUs / 2, Math.max(2 * roundUs, 2 * s.benchUs));
+                s.benchUntil = now + s.benchUs;
+            }
+        }
+
+        private void sample(Seen s, double us, long now) {
+            s.smoothedUs = s.smoothedUs == 0 ? us : s.smoothedUs + SMOOTHING * (us - s.smoothedUs);
+            s.heardAt = now;
+        }
+
+        double badness(Seen s, long now) {
+            return s.bad * Math.exp(-(double) (now - s.heardAt) / memoryUs);
+        }
+
+        boolean benched(Seen s, long now) {
+            return s.benchUntil != Long.MIN_VALUE && now < s.benchUntil + memoryUs;
+        }
+
+        /** The way back: one ordinary part call at a time, where the lookup can spare the part. */
+        boolean trialDue(Seen s, long now) {
+            return now >= s.benchUntil && s.calls == 0;
+        }
+
+        void tried(Seen s, long roundUs, long now) {
+            s.benchUs = Math.min(memoryUs / 2, Math.max(2 * roundUs, 2 * s.benchUs));
+            s.benchUntil = now + s.benchUs;
+        }
+
+        /** Unheard nodes count as average, or a round at the start; old verdicts fade to the average. */
+        double latency(Seen s, double average, long now) {
+            return s.smoothedUs == 0 ? average
+                    : average + (s.smoothedUs - average) * Math.exp(-(double) (now - s.heardAt) / memoryUs);
+        }
+
+        double average(Iterable<Seen> nodes, long roundUs, long now) {
+            double sum = 0;
+            int n = 0;
+            for (Seen s : nodes) {
+                if (s.smoothedUs > 0 && !benched(s, now)) {
+                    sum += s.smoothedUs;
+                    n++;
+                }
+            }
+            return n == 0 ? roundUs : sum / n;
+        }
+
+        boolean sharedTrouble(List<Seen> ready, long now) {
+            int benched = 0;
+            for (Seen s : ready) {
+                benched += benched(s, now) ? 1 : 0;
+            }
+            return 2 * benched > ready.size();
+        }
+
+        double doneNow(Seen s, long now) {
+            return s.done * Math.exp(-(double) (now - s.doneAt) / memoryUs);
+        }
+
+        /** Parts a microsecond that this router has had from the node of late. */
+        double rate(Seen s, long now) {
+            return doneNow(s, now) / memoryUs;
+        }
+    }
+
+    /** Danger: a node that has just started is sent more than it can do, falls over and stays down. */
+    public static final class ColdGuard {
+        private final int groupSize;
+        private final double startShare;
+        private final long coldUs;
+        private final double fallMultiple;
+        private final long fallUs;
+        private final Health health;
+
+        public ColdGuard(int groupSize, double startShare, long coldUs, double fallMultiple, long fallUs,
+                         Health health) {
+            this.groupSize = Math.max(1, groupSize);
+            this.startShare = startShare;
+            this.coldUs = coldUs;
+            this.fallMultiple = fallMultiple;
+            this.fallUs = fallUs;
+            this.health = health;
+        }
+
+        /** The least share of its capacity that the node can have now. */
+        double present(Seen s, long now) {
+            if (s.node.startedAt == Long.MIN_VALUE || now - s.node.startedAt >= coldUs) {
+                return 1;
+            }
+            double warmed = Math.max(0, (double) (now - s.node.startedAt) / coldUs);
+            return Math.max(0.01, startShare + (1 - startShare) * warmed);
+        }
+
+        /** Our share of what may be sent within the fall time, judged by what warm like nodes do for us. */
+        boolean admits(Seen s, Replicas replicas, long now) {
+            double present = present(s, now);
+            if (present >= 1) {
+                s.coldSends.clear();
+                return true;
+            }
+            while (!s.coldSends.isEmpty() && s.coldSends.peek() <= now - fallUs) {
+                s.coldSends.poll();
+            }
+            double rate = 0;
+            double latency = 0;
+            int like = 0;
+            for (Seen w : replicas.known.values()) {
+                if (w.node.kind == s.node.kind && present(w, now) >= 1 && w.smoothedUs > 0) {
+                    rate += health.rate(w, now);
+                    latency += w.smoothedUs;
+                    like++;
+                }
+            }
+            double allowed = like == 0 ? 0 : fallMultiple * present * fallUs
+                    * Math.max(rate / like, 1 / (latency / like * groupSize));
+            return s.coldSends.size() < Math.max(1, (int) (0.8 * allowed));
+        }
+
+        void sent(Seen s, long now) {
+            if (present(s, now) < 1) {
+                s.coldSends.add(now);
+            }
+        }
+    }
+
+    /** Further part calls: replays under a tenth of parts, resends under a fifth, and the stated budget. */
+    public static final class Budget {
+        private static final double REPLAYS = 0.1;
+        private static final double RESENDS = 0.2;
+        private final long lookBackUs;
+        private final double free;
+        private final double share;
+        private final double cap;
+        private double replays;
+        private double resends;
+        /** Times of what was taken and of further part calls; emptied as the look-back time passes. */
+        private final ArrayDeque<Long> taken = new ArrayDeque<>();
+        private final ArrayDeque<Long> further = new ArrayDeque<>();
+
+        /** @param lookBackUs 0 where no budget is stated; @param openCap lookups and parts held at most */
+        public Budget(long lookBackUs, double free, double share, int openCap) {
+            this.lookBackUs = lookBackUs;
+            this.free = free;
+            this.share = share;
+            cap = openCap;
+            resends = RESENDS * cap / 2;
+        }
+
+        void took(long now, boolean part) {
+            if (part) {
+                replays = Math.min(REPLAYS * cap, replays + REPLAYS);
+                resends = Math.min(RESENDS * cap, resends + RESENDS);
+            }
+            if (lookBackUs > 0) {
+                taken.add(now);
+            }
+        }
+
+        /** Danger: the stated budget, which holds in any window: what is taken now may soon leave it. */
+        private boolean allowed(long now) {
+            if (lookBackUs <= 0) {
+                return true;
+            }
+            while (!taken.isEmpty() && taken.peek() <= now - lookBackUs) {
+                taken.poll();
+            }
+            while (!further.isEmpty() && further.peek() < now - lookBackUs) {
+                further.poll();
+            }
+            return further.size() + 1 <= free + share * taken.size();
+        }
+
+        boolean mayReplay(long now) {
+            return replays >= 1 && allowed(now);
+        }
+
+        boolean mayResend(long now) {
+            return resends >= 1 && allowed(now);
+        }
+
+        void replayed(long now) {
+            replays--;
+            further(now);
+        }
+
+        void resent(long now) {
+            resends--;
+            further(now);
+        }
+
+        private void further(long now) {
+            if (lookBackUs > 0) {
+                further.add(now);
+            }
+        }
+    }
+
+    /** Which lookups to nack at the door, and when their clients should come back. */
+    public static final class Admission {
+        private final long maxComeBackUs;
+
+        /** @param maxComeBackUs 0 where clients are told no time */
+        public Admission(long maxComeBackUs) {
+            this.maxComeBackUs = maxComeBackUs;
+        }
+
+        boolean refuses(Lookup lk, long now) {
+            return lk.endAt - now <= 0;
+        }
+
+        long comeBack(Lookup lk) {
+            return Math.min(maxComeBackUs, lk.roundUs);
+        }
+    }
+
+    /** Keeps the subscription to the list open where the list must be asked. */
+    public static final class ListFollowing {
+        private final SplittableRandom random;
+        private final boolean asks;
+        private final long mustAskUs;
+        private long nextAt = NEVER;
+        private long backoffUs;
+
+        public ListFollowing(long seed, boolean asks, long mustAskUs) {
+            random = new SplittableRandom(seed);
+            this.asks = asks;
+            this.mustAskUs = mustAskUs;
+            backoffUs = mustAskUs / 16;
+        }
+
+        /** Danger: many routers that restart together and overrun the list; each waits a time of its own. */
+        void news(News news, long now) {
+            if (!asks) {
+                return;
+            }
+            if (news == News.CACHED) {
+                nextAt = now + random.nextLong(Math.max(1, mustAskUs / 16));
+            } else if (news == News.FAILED) {
+                nextAt = now + backoffUs / 2 + random.nextLong(Math.max(1, backoffUs));
+                backoffUs = Math.min(mustAskUs / 2, 2 * backoffUs);
+            } else {
+                backoffUs = mustAskUs / 16;
+            }
+        }
+
+        boolean due(long now) {
+            boolean due = now >= nextAt;
+            if (due) {
+                nextAt = NEVER;
+            }
+            return due;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/decision/Lookup.java
@@ -0,0 +1,30 @@
+package tinlink.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A lookup in hand and its parts. Fields only; the module keeps its notes on the lookup here too. */
+public class Lookup {
+    public Index index;
+    public int tenant;
+    /** A client's repeat, where clients mark them. */
+    public boolean repeat;
+    public long arrivedAt;
+    /** When the client stops waiting. */
+    public long leavesAt;
+    /** Parts of the step in hand: how many were announced, and those taken so far. */
+    public int announced;
+    public List<Part> parts = new ArrayList<>();
+    public boolean ended;
+
+    // The rounds of the step in hand.
+    public long roundUs;
+    public long endAt;
+    public long lookAt;
+    public long startedAt;
+    public boolean started;
+    public boolean replayed;
+    public boolean touched;
+    public boolean secondStep;
+    public boolean firstWhole = true;
+}
--- /dev/null
+++ b/src/main/java/tinlink/decision/PartCall.java
@@ -0,0 +1,21 @@
+package tinlink.decision;
+
+/** One send of a part to a data node. Fields only. */
+public final class PartCall {
+    /** What several part calls to one node share when they travel as one. */
+    public static final class Shared {
+        public int open;
+        public int size;
+    }
+
+    public Part part;
+    public DataNode node;
+    public int number;
+    public long sentAt;
+    /** Null while it is out. */
+    public Outcome outcome;
+    public Shared shared;
+    public boolean cancelled;
+    public boolean seenSilent;
+    public boolean replay;
+}
