Count a turned-away part call as two rounds of latency

Cause: a full node ends part calls within a few ms, and its latency sample of one round was below what all others showed, so it drew more sends.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -663,7 +663,8 @@
                     s.done = doneNow(s, now) + 1;
                     s.doneAt = now;
                 }
-                case TURNED_AWAY -> sample(s, Math.max(tookUs, roundUs), now);
+                // A full node ends calls fast; without this it would look like the fastest one.
+                case TURNED_AWAY -> sample(s, Math.max(2 * roundUs, s.smoothedUs), now);
                 case ERROR, CONNECTION_LOST, NO_CONNECTION -> {
                     sample(s, Math.max(tookUs, roundUs), now);
                     bad(s, roundUs, now);
