--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -80,6 +80,10 @@
             s.calls--;
         }
         health.outcome(s, c, how, tookUs, p.lookup.roundUs, now);
+        admission.inFlight--;
+        if (!c.seenSilent && (how == Outcome.SATISFIED || how == Outcome.TURNED_AWAY)) {
+            admission.heard(how == Outcome.TURNED_AWAY, p.lookup.roundUs, now);
+        }
         replicas.forgetIfGone(s);
         if (p.lookup.ended) {
             return;
@@ -206,7 +210,7 @@
             return false;
         }
         if (!lk.started) {
-            if (admission.refuses(lk, now) && rounds.mayNack(lk)) {
+            if (admission.refuses(lk) && rounds.mayNack(lk)) {
                 end(lk);
                 h.nack(lk, admission.comeBack(lk));
                 return true;
@@ -296,6 +300,7 @@
             for (PartCall c : p.calls) {
                 if (c.outcome == null && !c.seenSilent) {
                     c.seenSilent = true;
+                    admission.heard(true, lk.roundUs, now);
                     health.silent(replicas.seen(c.node), c, lk.roundUs, now);
                 }
             }
@@ -388,6 +393,7 @@
                 c.shared = replicas.share(s, now);
                 p.calls.add(c);
                 p.out++;
+                admission.inFlight++;
                 outbox.add(c);
                 if (health.benched(s, now)) {
                     health.tried(s, lk.roundUs, now);
@@ -882,17 +888,48 @@
         }
     }
 
-    /** Which lookups to nack at the door, and when their clients should come back. */
+    /**
+     * Which lookups to nack at the door: those that would put more parts in flight than have of late come back
+     * within a round. Danger: under overload every lookup sends all its parts, all end too late, clients ask
+     * again, and the service stays down after its cause has gone. Catches bursts, retry storms, lost capacity
+     * and slowness shared by all; may hurt where a few popular shards alone are slow.
+     */
     public static final class Admission {
+        private static final double LATE_STEP = 0.05;
+        private static final double CONGESTED = 0.3;
+        private static final double CUT = 0.8;
+        private static final double GROW = 0.2;
         private final long maxComeBackUs;
+        private final double most;
+        private double window;
+        private double late;
+        private long cutAt = Long.MIN_VALUE;
+        /** Part calls out. */
+        int inFlight;
 
-        /** @param maxComeBackUs 0 where clients are told no time */
-        public Admission(long maxComeBackUs) {
+        /**
+         * @param openCap lookups and parts held at most
+         * @param maxComeBackUs 0 where clients are told no time
+         */
+        public Admission(int openCap, long maxComeBackUs) {
             this.maxComeBackUs = maxComeBackUs;
+            most = openCap;
+            window = openCap;
+        }
+
+        /** A part call came back, or was still out after a round. */
+        void heard(boolean wasLate, long roundUs, long now) {
+            late += LATE_STEP * ((wasLate ? 1 : 0) - late);
+            if (late < CONGESTED) {
+                window = Math.min(most, window + (wasLate || 2 * inFlight < window ? 0 : GROW));
+            } else if (now >= cutAt) {
+                window = Math.max(1, Math.min(window, CUT * inFlight));
+                cutAt = now + roundUs;
+            }
         }
 
-        boolean refuses(Lookup lk, long now) {
-            return lk.endAt - now <= 0;
+        boolean refuses(Lookup lk) {
+            return inFlight > 0 && inFlight + lk.parts.size() > window;
         }
 
         long comeBack(Lookup lk) {
