--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -81,9 +81,6 @@
         }
         health.outcome(s, c, how, tookUs, p.lookup.roundUs, now);
         admission.inFlight--;
-        if (!c.seenSilent && (how == Outcome.SATISFIED || how == Outcome.TURNED_AWAY)) {
-            admission.heard(how == Outcome.TURNED_AWAY, p.lookup.roundUs, now);
-        }
         replicas.forgetIfGone(s);
         if (p.lookup.ended) {
             return;
@@ -200,6 +197,10 @@
         boolean allThere = lk.parts.size() >= lk.announced;
         // The n-th valid part ends the query (design page); a second step needs all of its parts.
         if (allThere && in >= needed(lk) - SLACK) {
+            if (!lk.heard) {
+                lk.heard = true;
+                admission.heard(lk, false, now);
+            }
             return answer(lk, h, !lk.secondStep || lk.firstWhole);
         }
         if (now >= lk.endAt || (allThere && hopeless(lk, in))) {
@@ -227,9 +228,12 @@
             replay(lk, in);
         }
         sendAgain(lk, in);
-        if (!lk.replayed) {
-            lk.lookAt = Math.min(lk.lookAt, lk.startedAt + lk.roundUs);
+        long lateAt = lk.startedAt + 2 * lk.roundUs;
+        if (!lk.heard && now >= lateAt) {
+            lk.heard = true;
+            admission.heard(lk, true, now);
         }
+        lk.lookAt = Math.min(lk.lookAt, !lk.replayed ? lk.startedAt + lk.roundUs : lk.heard ? lk.endAt : lateAt);
         return !outbox.isEmpty() || !surplus.isEmpty();
     }
 
@@ -300,7 +304,6 @@
             for (PartCall c : p.calls) {
                 if (c.outcome == null && !c.seenSilent) {
                     c.seenSilent = true;
-                    admission.heard(true, lk.roundUs, now);
                     health.silent(replicas.seen(c.node), c, lk.roundUs, now);
                 }
             }
@@ -451,6 +454,7 @@
             lk.lookAt = now;
             lk.started = false;
             lk.replayed = false;
+            lk.heard = lk.secondStep;
         }
 
         /** Danger: an effect that happens twice. */
@@ -889,13 +893,13 @@
     }
 
     /**
-     * Which lookups to nack at the door: those that would put more parts in flight than have of late come back
-     * within a round. Danger: under overload every lookup sends all its parts, all end too late, clients ask
+     * Which lookups to nack at the door: those that would put more parts in flight than of late came back
+     * within two rounds. Danger: under overload every lookup sends all its parts, all end too late, clients ask
      * again, and the service stays down after its cause has gone. Catches bursts, retry storms, lost capacity
      * and slowness shared by all; may hurt where a few popular shards alone are slow.
      */
     public static final class Admission {
-        private static final double LATE_STEP = 0.05;
+        private static final double LATE_STEP = 0.1;
         private static final double CONGESTED = 0.3;
         private static final double CUT = 0.8;
         private static final double GROW = 0.2;
@@ -917,14 +921,14 @@
             window = openCap;
         }
 
-        /** A part call came back, or was still out after a round. */
-        void heard(boolean wasLate, long roundUs, long now) {
+        /** A lookup was satisfied by the end of its replay round, or was still short then. */
+        void heard(Lookup lk, boolean wasLate, long now) {
             late += LATE_STEP * ((wasLate ? 1 : 0) - late);
             if (late < CONGESTED) {
-                window = Math.min(most, window + (wasLate || 2 * inFlight < window ? 0 : GROW));
+                window = Math.min(most, window + (wasLate || 2 * inFlight < window ? 0 : GROW * lk.parts.size()));
             } else if (now >= cutAt) {
                 window = Math.max(1, Math.min(window, CUT * inFlight));
-                cutAt = now + roundUs;
+                cutAt = now + lk.roundUs;
             }
         }
 
--- a/src/main/java/tinlink/decision/Lookup.java
+++ b/src/main/java/tinlink/decision/Lookup.java
@@ -24,6 +24,8 @@
     public long startedAt;
     public boolean started;
     public boolean replayed;
+    /** Admission has heard how it went. */
+    public boolean heard;
     public boolean touched;
     public boolean secondStep;
     public boolean firstWhole = true;
