--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -923,12 +923,16 @@
 
         /** A lookup was satisfied by the end of its replay round, or was still short then. */
         void heard(Lookup lk, boolean wasLate, long now) {
+            if (lk.startedAt < cutAt) {
+                return; // It tells of the time before the cut.
+            }
             late += LATE_STEP * ((wasLate ? 1 : 0) - late);
-            if (late < CONGESTED) {
-                window = Math.min(most, window + (wasLate || 2 * inFlight < window ? 0 : GROW * lk.parts.size()));
-            } else if (now >= cutAt) {
-                window = Math.max(1, Math.min(window, CUT * inFlight));
-                cutAt = now + lk.roundUs;
+            if (late >= CONGESTED) {
+                window = Math.max(1, CUT * Math.min(window, inFlight));
+                late = 0;
+                cutAt = now;
+            } else if (!wasLate && 2 * inFlight > window) {
+                window = Math.min(most, window + GROW * lk.parts.size());
             }
         }
 
