Do not take a lookup that waits for silent nodes alone for congestion

Should also cover crashed nodes not yet off the list; may hurt where every holder of popular shards hangs under overload.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -231,12 +231,27 @@
         long lateAt = lk.startedAt + 2 * lk.roundUs;
         if (!lk.heard && now >= lateAt) {
             lk.heard = true;
-            admission.heard(lk, true, now);
+            if (awaitsLiving(lk)) {
+                admission.heard(lk, true, now);
+            }
         }
         lk.lookAt = Math.min(lk.lookAt, !lk.replayed ? lk.startedAt + lk.roundUs : lk.heard ? lk.endAt : lateAt);
         return !outbox.isEmpty() || !surplus.isEmpty();
     }
 
+    /** Not congestion: all that a late lookup waits for is on nodes that have answered nothing since. */
+    private boolean awaitsLiving(Lookup lk) {
+        for (Part p : lk.parts) {
+            if (!p.satisfied && !p.calls.isEmpty()) {
+                PartCall c = p.calls.get(p.calls.size() - 1);
+                if (c.outcome != null || replicas.seen(c.node).lastGoodAt >= c.sentAt) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     private double weightIn(Lookup lk) {
         double in = 0;
         for (Part p : lk.parts) {
@@ -937,7 +952,7 @@
         }
 
         boolean refuses(Lookup lk) {
-            return inFlight > 0 && inFlight + lk.parts.size() > window;
+            return inFlight + lk.parts.size() > Math.max(window, 2 * lk.parts.size());
         }
 
         long comeBack(Lookup lk) {
