--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -434,8 +434,6 @@
         long currentAt = Long.MIN_VALUE;
         /** Share of recent part calls that went bad, smoothed; benched while high. */
         double bad;
-        /** It has just turned a part away. */
-        long fullUntil = Long.MIN_VALUE;
         long benchUntil = Long.MIN_VALUE;
         long benchUs;
         /** Parts satisfied of late, decaying; and sends within the fall time while cold. */
@@ -638,7 +636,7 @@
                         fresh += tried(s, p) ? 0 : 1;
                     }
                 }
-                if (again == 0 || now < s.fullUntil || !cold.admits(s, this, now)) {
+                if (again == 0 || !cold.admits(s, this, now)) {
                     continue;
                 }
                 boolean benched = !shared && health.benched(s, now);
@@ -691,10 +689,7 @@
                     s.doneAt = now;
                 }
                 // A full node ends calls fast; without this it would look like the fastest one.
-                case TURNED_AWAY -> {
-                    sample(s, Math.max(2 * roundUs, s.smoothedUs), now);
-                    s.fullUntil = now + roundUs / 2;
-                }
+                case TURNED_AWAY -> sample(s, Math.max(2 * roundUs, s.smoothedUs), now);
                 case ERROR, CONNECTION_LOST, NO_CONNECTION -> {
                     sample(s, Math.max(tookUs, roundUs), now);
                     bad(s, roundUs, now);
