--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -80,7 +80,9 @@
             s.calls--;
         }
         health.outcome(s, c, how, tookUs, p.lookup.roundUs, now);
-        admission.inFlight--;
+        if (how == Outcome.SATISFIED && !c.seenLate || how == Outcome.TURNED_AWAY) {
+            admission.heard(s, c, how != Outcome.SATISFIED || tookUs > 2 * p.lookup.roundUs, now);
+        }
         replicas.forgetIfGone(s);
         if (p.lookup.ended) {
             return;
@@ -197,10 +199,6 @@
         boolean allThere = lk.parts.size() >= lk.announced;
         // The n-th valid part ends the query (design page); a second step needs all of its parts.
         if (allThere && in >= needed(lk) - SLACK) {
-            if (!lk.heard) {
-                lk.heard = true;
-                admission.heard(lk, false, now);
-            }
             return answer(lk, h, !lk.secondStep || lk.firstWhole);
         }
         if (now >= lk.endAt || (allThere && hopeless(lk, in))) {
@@ -211,7 +209,7 @@
             return false;
         }
         if (!lk.started) {
-            if (admission.refuses(lk) && rounds.mayNack(lk)) {
+            if (admission.refuses(lk, replicas) && rounds.mayNack(lk)) {
                 end(lk);
                 h.nack(lk, admission.comeBack(lk));
                 return true;
@@ -231,27 +229,19 @@
         long lateAt = lk.startedAt + 2 * lk.roundUs;
         if (!lk.heard && now >= lateAt) {
             lk.heard = true;
-            if (awaitsLiving(lk)) {
-                admission.heard(lk, true, now);
+            for (Part p : lk.parts) {
+                for (PartCall c : p.calls) {
+                    if (c.outcome == null && !c.seenLate && now - c.sentAt >= 2 * lk.roundUs) {
+                        c.seenLate = true;
+                        admission.heard(replicas.seen(c.node), c, true, now);
+                    }
+                }
             }
         }
         lk.lookAt = Math.min(lk.lookAt, !lk.replayed ? lk.startedAt + lk.roundUs : lk.heard ? lk.endAt : lateAt);
         return !outbox.isEmpty() || !surplus.isEmpty();
     }
 
-    /** Not congestion: all that a late lookup waits for is on nodes that have answered nothing since. */
-    private boolean awaitsLiving(Lookup lk) {
-        for (Part p : lk.parts) {
-            if (!p.satisfied && !p.calls.isEmpty()) {
-                PartCall c = p.calls.get(p.calls.size() - 1);
-                if (c.outcome != null || replicas.seen(c.node).lastGoodAt >= c.sentAt) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
     private double weightIn(Lookup lk) {
         double in = 0;
         for (Part p : lk.parts) {
@@ -411,7 +401,6 @@
                 c.shared = replicas.share(s, now);
                 p.calls.add(c);
                 p.out++;
-                admission.inFlight++;
                 outbox.add(c);
                 if (health.benched(s, now)) {
                     health.tried(s, lk.roundUs, now);
@@ -436,6 +425,9 @@
         double bad;
         long benchUntil = Long.MIN_VALUE;
         long benchUs;
+        /** Calls that may be out at once. */
+        double window = 8;
+        long cutAt = Long.MIN_VALUE;
         /** Parts satisfied of late, decaying; and sends within the fall time while cold. */
         double done;
         long doneAt;
@@ -580,6 +572,17 @@
             return false;
         }
 
+        boolean heldWithRoom(Part p, Admission admission) {
+            for (int j = 0; j < reach; j++) {
+                for (Seen s : byCell.get((p.shard + j) % cells)) {
+                    if (s.node.state == DataNode.State.READY && admission.room(s)) {
+                        return true;
+                    }
+                }
+            }
+            return false;
+        }
+
         private boolean holds(Seen s, Part p) {
             return Math.floorMod(s.node.cell - p.shard, cells) < reach;
         }
@@ -908,51 +911,43 @@
     }
 
     /**
-     * Which lookups to nack at the door: those that would put more parts in flight than of late came back
-     * within two rounds. Danger: under overload every lookup sends all its parts, all end too late, clients ask
-     * again, and the service stays down after its cause has gone. Catches bursts, retry storms, lost capacity
-     * and slowness shared by all; may hurt where a few popular shards alone are slow.
+     * Which lookups to nack at the door: those that would need more calls out at some node than it has of late
+     * answered within two rounds. Danger: under overload every lookup sends all its parts, all end too late,
+     * clients ask again, and the service stays down after its cause has gone. Catches bursts, retry storms,
+     * lost capacity, slowness shared by all, and shards too popular for their holders; may hurt where a node's
+     * calls are too few to tell a slow call from a slow node.
      */
     public static final class Admission {
-        private static final double LATE_STEP = 0.1;
-        private static final double CONGESTED = 0.3;
-        private static final double CUT = 0.8;
-        private static final double GROW = 0.2;
+        private static final double CUT = 0.7;
+        private static final double GROW = 0.5;
         private final long maxComeBackUs;
-        private final double most;
-        private double window;
-        private double late;
-        private long cutAt = Long.MIN_VALUE;
-        /** Part calls out. */
-        int inFlight;
 
-        /**
-         * @param openCap lookups and parts held at most
-         * @param maxComeBackUs 0 where clients are told no time
-         */
-        public Admission(int openCap, long maxComeBackUs) {
+        /** @param maxComeBackUs 0 where clients are told no time */
+        public Admission(long maxComeBackUs) {
             this.maxComeBackUs = maxComeBackUs;
-            most = openCap;
-            window = openCap;
         }
 
-        /** A lookup was satisfied by the end of its replay round, or was still short then. */
-        void heard(Lookup lk, boolean wasLate, long now) {
-            if (lk.startedAt < cutAt) {
-                return; // It tells of the time before the cut.
-            }
-            late += LATE_STEP * ((wasLate ? 1 : 0) - late);
-            if (late >= CONGESTED) {
-                window = Math.max(1, CUT * Math.min(window, inFlight));
-                late = 0;
-                cutAt = now;
-            } else if (!wasLate && 2 * inFlight > window) {
-                window = Math.min(most, window + GROW * lk.parts.size());
+        /** A part call was answered, or was turned away or still out after two rounds. */
+        void heard(Seen s, PartCall c, boolean late, long now) {
+            if (!late && s.calls + 1 >= s.window) {
+                s.window += GROW / Math.max(1, s.window);
+            } else if (late && c.sentAt >= s.cutAt) {
+                s.window = Math.max(1, CUT * Math.min(s.window, s.calls));
+                s.cutAt = now;
             }
         }
 
-        boolean refuses(Lookup lk) {
-            return inFlight + lk.parts.size() > Math.max(window, 2 * lk.parts.size());
+        boolean room(Seen s) {
+            return s.calls < s.window;
+        }
+
+        /** Too few of its parts have a holder with room. */
+        boolean refuses(Lookup lk, Replicas replicas) {
+            double may = 0;
+            for (Part p : lk.parts) {
+                may += replicas.heldWithRoom(p, this) ? p.weight : 0;
+            }
+            return may < lk.index.need - SLACK;
         }
 
         long comeBack(Lookup lk) {
--- a/src/main/java/tinlink/decision/PartCall.java
+++ b/src/main/java/tinlink/decision/PartCall.java
@@ -17,5 +17,6 @@
     public Shared shared;
     public boolean cancelled;
     public boolean seenSilent;
+    public boolean seenLate;
     public boolean replay;
 }
