--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -209,7 +209,7 @@
             return false;
         }
         if (!lk.started) {
-            if (admission.refuses(lk, replicas) && rounds.mayNack(lk)) {
+            if (admission.refuses(lk, replicas, health, now) && rounds.mayNack(lk)) {
                 end(lk);
                 h.nack(lk, admission.comeBack(lk));
                 return true;
@@ -372,7 +372,7 @@
         List<Part> todo = new ArrayList<>(parts);
         boolean any = false;
         while (!todo.isEmpty()) {
-            Seen s = replicas.pick(todo, lk, health, cold, replay, now);
+            Seen s = replicas.pick(todo, lk, health, cold, replay, admission, now);
             if (s == null) {
                 break;
             }
@@ -572,10 +572,11 @@
             return false;
         }
 
-        boolean heldWithRoom(Part p, Admission admission) {
+        boolean heldWithRoom(Part p, Admission admission, boolean shared, Health health, long now) {
             for (int j = 0; j < reach; j++) {
                 for (Seen s : byCell.get((p.shard + j) % cells)) {
-                    if (s.node.state == DataNode.State.READY && admission.room(s)) {
+                    if (s.node.state == DataNode.State.READY && admission.room(s)
+                            && (shared || !health.benched(s, now))) {
                         return true;
                     }
                 }
@@ -623,7 +624,8 @@
          * could take. Where calls are dear, the cost is spread over the parts that would share the call.
          * Sound nodes go first, then ones this part has tried, then benched ones.
          */
-        Seen pick(List<Part> todo, Lookup lk, Health health, ColdGuard cold, boolean replay, long now) {
+        Seen pick(List<Part> todo, Lookup lk, Health health, ColdGuard cold, boolean replay, Admission admission,
+                  long now) {
             double average = health.average(known.values(), lk.roundUs, now);
             boolean shared = health.sharedTrouble(ready(), now);
             double callShare = Math.min(0.9, callUs / Math.max(1, average));
@@ -644,7 +646,7 @@
                 }
                 boolean benched = !shared && health.benched(s, now);
                 boolean trial = benched && !replay && health.trialDue(s, now) && lk.index.need < 1;
-                int tier = trial ? 0 : (benched ? 4 : 1) + (fresh == 0 ? 1 : 0);
+                int tier = trial ? 0 : (benched ? 5 : admission.room(s) ? 1 : 3) + (fresh == 0 ? 1 : 0);
                 int joined = s.currentAt == now && s.current.size < bundleMax ? 1 : 0;
                 int n = Math.min(room(s, now), fresh > 0 ? fresh : again);
                 double cost = health.latency(s, average, now) * (s.calls - joined + 1)
@@ -942,10 +944,11 @@
         }
 
         /** Too few of its parts have a holder with room. */
-        boolean refuses(Lookup lk, Replicas replicas) {
+        boolean refuses(Lookup lk, Replicas replicas, Health health, long now) {
+            boolean shared = health.sharedTrouble(replicas.ready(), now);
             double may = 0;
             for (Part p : lk.parts) {
-                may += replicas.heldWithRoom(p, this) ? p.weight : 0;
+                may += replicas.heldWithRoom(p, this, shared, health, now) ? p.weight : 0;
             }
             return may < lk.index.need - SLACK;
         }
