--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -209,7 +209,7 @@
             return false;
         }
         if (!lk.started) {
-            if (admission.refuses(lk, replicas, health, now) && rounds.mayNack(lk)) {
+            if (admission.refuses(lk, replicas) && rounds.mayNack(lk)) {
                 end(lk);
                 h.nack(lk, admission.comeBack(lk));
                 return true;
@@ -572,11 +572,10 @@
             return false;
         }
 
-        boolean heldWithRoom(Part p, Admission admission, boolean shared, Health health, long now) {
+        boolean heldWithRoom(Part p, Admission admission) {
             for (int j = 0; j < reach; j++) {
                 for (Seen s : byCell.get((p.shard + j) % cells)) {
-                    if (s.node.state == DataNode.State.READY && admission.room(s)
-                            && (shared || !health.benched(s, now))) {
+                    if (s.node.state == DataNode.State.READY && admission.room(s)) {
                         return true;
                     }
                 }
@@ -944,11 +943,10 @@
         }
 
         /** Too few of its parts have a holder with room. */
-        boolean refuses(Lookup lk, Replicas replicas, Health health, long now) {
-            boolean shared = health.sharedTrouble(replicas.ready(), now);
+        boolean refuses(Lookup lk, Replicas replicas) {
             double may = 0;
             for (Part p : lk.parts) {
-                may += replicas.heldWithRoom(p, this, shared, health, now) ? p.weight : 0;
+                may += replicas.heldWithRoom(p, this) ? p.weight : 0;
             }
             return may < lk.index.need - SLACK;
         }
