--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -372,7 +372,7 @@
         List<Part> todo = new ArrayList<>(parts);
         boolean any = false;
         while (!todo.isEmpty()) {
-            Seen s = replicas.pick(todo, lk, health, cold, replay, admission, now);
+            Seen s = replicas.pick(todo, lk, health, cold, replay, now);
             if (s == null) {
                 break;
             }
@@ -623,8 +623,7 @@
          * could take. Where calls are dear, the cost is spread over the parts that would share the call.
          * Sound nodes go first, then ones this part has tried, then benched ones.
          */
-        Seen pick(List<Part> todo, Lookup lk, Health health, ColdGuard cold, boolean replay, Admission admission,
-                  long now) {
+        Seen pick(List<Part> todo, Lookup lk, Health health, ColdGuard cold, boolean replay, long now) {
             double average = health.average(known.values(), lk.roundUs, now);
             boolean shared = health.sharedTrouble(ready(), now);
             double callShare = Math.min(0.9, callUs / Math.max(1, average));
@@ -645,7 +644,7 @@
                 }
                 boolean benched = !shared && health.benched(s, now);
                 boolean trial = benched && !replay && health.trialDue(s, now) && lk.index.need < 1;
-                int tier = trial ? 0 : (benched ? 5 : admission.room(s) ? 1 : 3) + (fresh == 0 ? 1 : 0);
+                int tier = trial ? 0 : (benched ? 4 : 1) + (fresh == 0 ? 1 : 0);
                 int joined = s.currentAt == now && s.current.size < bundleMax ? 1 : 0;
                 int n = Math.min(room(s, now), fresh > 0 ? fresh : again);
                 double cost = health.latency(s, average, now) * (s.calls - joined + 1)
