--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -457,7 +457,10 @@
             // Two steps of the clock early: a timer fires up to one late, and the client's end is final.
             long last = Math.max(now, lk.leavesAt - 2 * stepUs);
             lk.roundUs = Math.max(stepUs, Math.min(lk.index.softUs, last - now) / 3);
-            lk.endAt = Math.min(last, Math.max(lk.arrivedAt + lk.index.softUs, now + 3 * lk.roundUs));
+            // Departure: where all parts are needed and a late answer still has gain, an abort at the aim would
+            // only make the client ask for all of it again.
+            lk.endAt = lk.index.need >= 1 && lk.index.lateGain > 0 ? last
+                    : Math.min(last, Math.max(lk.arrivedAt + lk.index.softUs, now + 3 * lk.roundUs));
             lk.lookAt = now;
             lk.started = false;
             lk.replayed = false;
