--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -217,7 +217,7 @@
             lk.started = true;
             lk.startedAt = now;
             // All k parts leave together.
-            place(lk, lk.parts, false);
+            place(lk.parts, false);
             lk.lookAt = Math.min(lk.endAt, now + lk.roundUs);
             return !outbox.isEmpty() || step(lk, h);
         }
@@ -327,7 +327,7 @@
                 break;
             }
             if (rounds.mayCall(p, now) && budget.mayReplay(now)) {
-                if (place(lk, List.of(p), true)) {
+                if (place(List.of(p), true)) {
                     missing -= p.weight;
                 }
             } else if (rounds.mayGiveUpSilent(p) && lastNode(p).lastGoodAt < p.calls.get(0).sentAt
@@ -356,7 +356,7 @@
                 continue;
             }
             if (now >= p.sendAt && (p.calls.isEmpty() || p.resendAsReplay || budget.mayResend(now))
-                    && place(lk, List.of(p), false)) {
+                    && place(List.of(p), false)) {
                 may += p.weight;
                 p.resendAsReplay = false;
             } else {
@@ -368,45 +368,32 @@
     }
 
     /** Picks a replica for each part by the companion and puts the part calls into the outbox. */
-    private boolean place(Lookup lk, List<Part> parts, boolean replay) {
-        List<Part> todo = new ArrayList<>(parts);
+    private boolean place(List<Part> parts, boolean replay) {
         boolean any = false;
-        while (!todo.isEmpty()) {
-            Seen s = replicas.pick(todo, lk, health, cold, replay, now);
+        for (Part p : parts) {
+            Seen s = replicas.pick(p, health, cold, replay, now);
             if (s == null) {
-                break;
-            }
-            int room = replicas.room(s, now);
-            for (int i = 0; i < todo.size() && room > 0; ) {
-                Part p = todo.get(i);
-                if (!replicas.fits(s, p, replay) || !cold.admits(s, replicas, now)) {
-                    i++;
-                    continue;
-                }
-                todo.remove(i);
-                room--;
-                any = true;
-                if (replay) {
-                    budget.replayed(now);
-                } else if (!p.calls.isEmpty() && !p.resendAsReplay) {
-                    budget.resent(now);
-                }
-                cold.sent(s, now);
-                PartCall c = new PartCall();
-                c.part = p;
-                c.node = s.node;
-                c.number = p.calls.size();
-                c.sentAt = now;
-                c.replay = replay;
-                c.shared = replicas.share(s, now);
-                p.calls.add(c);
-                p.out++;
-                outbox.add(c);
-                if (health.benched(s, now)) {
-                    health.tried(s, lk.roundUs, now);
-                    room = 0;
-                }
+                continue;
             }
+            any = true;
+            if (replay) {
+                budget.replayed(now);
+            } else if (!p.calls.isEmpty() && !p.resendAsReplay) {
+                budget.resent(now);
+            }
+            cold.sent(s, now);
+            if (health.benched(s, now)) {
+                health.tried(s, p.lookup.roundUs, now);
+            }
+            PartCall c = new PartCall();
+            c.part = p;
+            c.node = s.node;
+            c.number = p.calls.size();
+            c.sentAt = now;
+            c.shared = replicas.share(s, now);
+            p.calls.add(c);
+            p.out++;
+            outbox.add(c);
         }
         return any;
     }
@@ -590,11 +577,6 @@
             return Math.floorMod(s.node.cell - p.shard, cells) < reach;
         }
 
-        /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
-        boolean fits(Seen s, Part p, boolean elsewhere) {
-            return s.node.state == DataNode.State.READY && holds(s, p) && !(elsewhere && tried(s, p));
-        }
-
         private boolean tried(Seen s, Part p) {
             for (PartCall c : p.calls) {
                 if (c.node == s.node) {
@@ -604,12 +586,6 @@
             return false;
         }
 
-        /** Room in the call that leaves for this node in this turn, or in a new one. */
-        int room(Seen s, long now) {
-            boolean joins = s.currentAt == now && s.current.size < bundleMax;
-            return joins ? bundleMax - s.current.size : bundleMax;
-        }
-
         PartCall.Shared share(Seen s, long now) {
             if (s.currentAt != now || s.current.size >= bundleMax) {
                 s.current = new PartCall.Shared();
@@ -622,37 +598,30 @@
         }
 
         /**
-         * The node with the least smoothed latency times its own outstanding calls plus one, for the parts it
-         * could take. Where calls are dear, the cost is spread over the parts that would share the call.
-         * Sound nodes go first, then ones this part has tried, then benched ones.
+         * The holder with the least smoothed latency times its own outstanding calls plus one; one whose call
+         * leaves in this turn costs no call of its own. Sound nodes go first, then ones that this part has
+         * tried, then benched ones. Drains: once told that a node drains or is gone, nothing new goes there,
+         * grace or not.
          */
-        Seen pick(List<Part> todo, Lookup lk, Health health, ColdGuard cold, boolean replay, long now) {
-            double average = health.average(known.values(), lk.roundUs, now);
+        Seen pick(Part p, Health health, ColdGuard cold, boolean replay, long now) {
+            double average = health.average(known.values(), p.lookup.roundUs, now);
             boolean shared = health.sharedTrouble(ready(), now);
             double callShare = Math.min(0.9, callUs / Math.max(1, average));
             Seen best = null;
             double least = Double.MAX_VALUE;
-            int bestTier = 9;
+            int bestTier = Integer.MAX_VALUE;
             for (Seen s : known.values()) {
-                int fresh = 0;
-                int again = 0;
-                for (Part p : todo) {
-                    if (fits(s, p, replay)) {
-                        again++;
-                        fresh += tried(s, p) ? 0 : 1;
-                    }
-                }
-                if (again == 0 || !cold.admits(s, this, now)) {
+                boolean tried = tried(s, p);
+                if (s.node.state != DataNode.State.READY || !holds(s, p) || replay && tried
+                        || !cold.admits(s, this, now)) {
                     continue;
                 }
                 boolean benched = !shared && health.benched(s, now);
-                boolean trial = benched && !replay && health.trialDue(s, now) && lk.index.need < 1;
-                int tier = trial ? 0 : (benched ? 4 : 1) + (fresh == 0 ? 1 : 0);
-                int joined = s.currentAt == now && s.current.size < bundleMax ? 1 : 0;
-                int n = Math.min(room(s, now), fresh > 0 ? fresh : again);
-                double cost = health.latency(s, average, now) * (s.calls - joined + 1)
-                        / (1 - health.badness(s, now)) / cold.present(s, now)
-                        * (1 - callShare + callShare / (joined > 0 ? bundleMax : n));
+                boolean trial = benched && !replay && health.trialDue(s, now) && p.lookup.index.need < 1;
+                int tier = trial ? 0 : (benched ? 3 : 1) + (tried ? 1 : 0);
+                boolean joins = s.currentAt == now && s.current.size < bundleMax;
+                double cost = health.latency(s, average, now) * (s.calls + 1)
+                        / (1 - health.badness(s, now)) / cold.present(s, now) * (joins ? 1 - callShare : 1);
                 if (tier < bestTier || tier == bestTier && (cost < least || cost == least && older(s, best))) {
                     best = s;
                     bestTier = tier;
--- a/src/main/java/tinlink/decision/PartCall.java
+++ b/src/main/java/tinlink/decision/PartCall.java
@@ -18,5 +18,4 @@
     public boolean cancelled;
     public boolean seenSilent;
     public boolean seenLate;
-    public boolean replay;
 }
