No replays and no benches while many part calls outlast a round

Cause: under overload and slowness shared by all, each silent first round set off replays up to their tenth, and their losers ran on. Should cover bursts, shared slowness and overload; may hurt where a third of the nodes hang at once before they are benched.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -643,7 +643,11 @@
         private static final double SMOOTHING = 0.2;
         private static final double BAD_STEP = 0.25;
         private static final double BENCH_AT = 0.4;
+        private static final double QUIET_STEP = 0.05;
+        private static final double SHARED = 0.3;
         private final long memoryUs;
+        /** Share of part calls, smoothed, that were still out after a round. */
+        private double quiet;
 
         /** @param softUs the longest soft deadline of any index; what was seen fades over a few of these */
         public Health(long softUs) {
@@ -655,6 +659,7 @@
                 case SATISFIED -> {
                     sample(s, tookUs, now);
                     s.lastGoodAt = now;
+                    quiet -= c.seenSilent ? 0 : QUIET_STEP * quiet;
                     s.bad -= BAD_STEP * s.bad;
                     if (c.sentAt >= s.benchUntil - s.benchUs) {
                         s.benchUntil = Long.MIN_VALUE;
@@ -678,6 +683,7 @@
         /** Danger: a node that takes parts and answers none costs every lookup a round. */
         void silent(Seen s, PartCall c, long roundUs, long now) {
             sample(s, Math.max(now - c.sentAt, (long) s.smoothedUs), now);
+            quiet += QUIET_STEP * (1 - quiet);
             if (s.lastGoodAt < c.sentAt) {
                 bad(s, roundUs, now);
             }
@@ -732,7 +738,11 @@
             return n == 0 ? roundUs : sum / n;
         }
 
+        /** Danger: replays for what all nodes are slow at only add to it. */
         boolean sharedTrouble(List<Seen> ready, long now) {
+            if (quiet > SHARED) {
+                return true;
+            }
             int benched = 0;
             for (Seen s : ready) {
                 benched += benched(s, now) ? 1 : 0;
