--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -317,7 +317,7 @@
             }
         }
         // When most nodes look bad the cause is shared, and a second copy only adds to it.
-        if (!health.replaysHelp(replicas.ready(), now)) {
+        if (health.sharedTrouble(replicas.ready(), now)) {
             return;
         }
         silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
@@ -739,11 +739,10 @@
         }
 
         /** Danger: replays for what all nodes are slow at only add to it. */
-        boolean replaysHelp(List<Seen> ready, long now) {
-            return quiet <= SHARED && !sharedTrouble(ready, now);
-        }
-
         boolean sharedTrouble(List<Seen> ready, long now) {
+            if (quiet > SHARED) {
+                return true;
+            }
             int benched = 0;
             for (Seen s : ready) {
                 benched += benched(s, now) ? 1 : 0;
