--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -81,7 +81,7 @@
         }
         health.outcome(s, c, how, tookUs, p.lookup.roundUs, now);
         if (how == Outcome.SATISFIED && !c.seenLate || how == Outcome.TURNED_AWAY) {
-            admission.heard(s, c, how != Outcome.SATISFIED || tookUs > 2 * p.lookup.roundUs, now);
+            admission.heard(s, c, how != Outcome.SATISFIED || tookUs > 3 * p.lookup.roundUs / 2, now);
         }
         replicas.forgetIfGone(s);
         if (p.lookup.ended) {
@@ -226,12 +226,12 @@
             replay(lk, in);
         }
         sendAgain(lk, in);
-        long lateAt = lk.startedAt + 2 * lk.roundUs;
+        long lateAt = lk.startedAt + 3 * lk.roundUs / 2;
         if (!lk.heard && now >= lateAt) {
             lk.heard = true;
             for (Part p : lk.parts) {
                 for (PartCall c : p.calls) {
-                    if (c.outcome == null && !c.seenLate && now - c.sentAt >= 2 * lk.roundUs) {
+                    if (c.outcome == null && !c.seenLate && 2 * (now - c.sentAt) >= 3 * lk.roundUs) {
                         c.seenLate = true;
                         admission.heard(replicas.seen(c.node), c, true, now);
                     }
