--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -914,7 +914,7 @@
             if (!late && s.calls + 1 >= s.window) {
                 s.window += GROW / Math.max(1, s.window);
             } else if (late && c.sentAt >= s.cutAt) {
-                s.window = Math.max(2, CUT * Math.min(s.window, s.calls));
+                s.window = Math.max(1, CUT * Math.min(s.window, s.calls));
                 s.cutAt = now;
             }
         }
