--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -316,10 +316,9 @@
                 silent.add(p);
             }
         }
-        // When most nodes look bad the cause is shared, and a second copy only adds to it; but a node that has
-        // answered nothing since the part went there is not just slow.
+        // When most nodes look bad the cause is shared, and a second copy only adds to it.
         if (health.sharedTrouble(replicas.ready(), now)) {
-            silent.removeIf(p -> lastNode(p).lastGoodAt >= p.calls.get(p.calls.size() - 1).sentAt);
+            return;
         }
         silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
         double missing = needed(lk) - SLACK - in;
