--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -158,7 +158,7 @@
     public boolean decide(Host h) {
         if (!outbox.isEmpty()) {
             PartCall c = outbox.poll();
-            h.send(c, Math.max(1, Math.min(c.part.lookup.endAt - now, 3 * c.part.lookup.roundUs)));
+            h.send(c, Math.max(1, c.part.lookup.endAt - now));
             return true;
         }
         while (!surplus.isEmpty()) {
