In shared trouble, replay parts that later ones overtook at their node

Told from slowness: later parts to the same node are answered. Should cover lost answers and stuck workers; may hurt where one heavy part is overtaken by light ones under overload.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -316,9 +316,10 @@
                 silent.add(p);
             }
         }
-        // When most nodes look bad the cause is shared, and a second copy only adds to it.
+        // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that later
+        // ones have overtaken at its node is stuck, not slow.
         if (health.sharedTrouble(replicas.ready(), now)) {
-            return;
+            silent.removeIf(p -> lastNode(p).newestAnswered <= p.calls.get(p.calls.size() - 1).sentAt);
         }
         silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
         double missing = needed(lk) - SLACK - in;
@@ -404,6 +405,8 @@
         double smoothedUs;
         long heardAt = Long.MIN_VALUE / 2;
         long lastGoodAt = Long.MIN_VALUE / 2;
+        /** When the newest part call that it has answered was sent. */
+        long newestAnswered = Long.MIN_VALUE;
         /** Calls out; shared ones count once. */
         int calls;
         PartCall.Shared current;
@@ -659,6 +662,7 @@
                 case SATISFIED -> {
                     sample(s, tookUs, now);
                     s.lastGoodAt = now;
+                    s.newestAnswered = Math.max(s.newestAnswered, c.sentAt);
                     quiet -= c.seenSilent ? 0 : QUIET_STEP * quiet;
                     s.bad -= BAD_STEP * s.bad;
                     if (c.sentAt >= s.benchUntil - s.benchUs) {
