--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -233,10 +233,7 @@
                 for (PartCall c : p.calls) {
                     if (c.outcome == null && !c.seenLate && 2 * (now - c.sentAt) >= 3 * lk.roundUs) {
                         c.seenLate = true;
-                        Seen s = replicas.seen(c.node);
-                        if (s.newestAnswered <= c.sentAt) {
-                            admission.heard(s, c, true, now);
-                        }
+                        admission.heard(replicas.seen(c.node), c, true, now);
                     }
                 }
             }
