--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -80,9 +80,6 @@
             s.calls--;
         }
         health.outcome(s, c, how, tookUs, p.lookup.roundUs, now);
-        if (how == Outcome.SATISFIED && !c.seenLate || how == Outcome.TURNED_AWAY) {
-            admission.heard(s, c, how != Outcome.SATISFIED || tookUs > 3 * p.lookup.roundUs / 2, now);
-        }
         replicas.forgetIfGone(s);
         if (p.lookup.ended) {
             return;
@@ -233,7 +230,7 @@
                 for (PartCall c : p.calls) {
                     if (c.outcome == null && !c.seenLate && 2 * (now - c.sentAt) >= 3 * lk.roundUs) {
                         c.seenLate = true;
-                        admission.heard(replicas.seen(c.node), c, true, now);
+                        health.late(replicas.seen(c.node), c, now);
                     }
                 }
             }
@@ -391,6 +388,7 @@
             c.node = s.node;
             c.number = p.calls.size();
             c.sentAt = now;
+            c.callsBefore = s.calls;
             c.shared = replicas.share(s, now);
             p.calls.add(c);
             p.out++;
@@ -415,9 +413,8 @@
         double bad;
         long benchUntil = Long.MIN_VALUE;
         long benchUs;
-        /** Calls that may be out at once. */
-        double window = 8;
-        long cutAt = Long.MIN_VALUE;
+        /** Calls that were out when its answered ones were sent, smoothed. */
+        double usualCalls;
         /** Parts satisfied of late, decaying; and sends within the fall time while cold. */
         double done;
         long doneAt;
@@ -568,7 +565,7 @@
         boolean heldWithRoom(Part p, Admission admission) {
             for (int j = 0; j < reach; j++) {
                 for (Seen s : byCell.get((p.shard + j) % cells)) {
-                    if (s.node.state == DataNode.State.READY && admission.room(s)) {
+                    if (s.node.state == DataNode.State.READY && admission.room(s, p.lookup.roundUs)) {
                         return true;
                     }
                 }
@@ -660,7 +657,7 @@
         void outcome(Seen s, PartCall c, Outcome how, long tookUs, long roundUs, long now) {
             switch (how) {
                 case SATISFIED -> {
-                    sample(s, tookUs, now);
+                    sample(s, c, tookUs, now);
                     s.lastGoodAt = now;
                     s.newestAnswered = Math.max(s.newestAnswered, c.sentAt);
                     quiet -= c.seenSilent ? 0 : QUIET_STEP * quiet;
@@ -673,12 +670,12 @@
                     s.doneAt = now;
                 }
                 // A full node ends calls fast; without this it would look like the fastest one.
-                case TURNED_AWAY -> sample(s, Math.max(2 * roundUs, s.smoothedUs), now);
+                case TURNED_AWAY -> sample(s, c, Math.max(2 * roundUs, s.smoothedUs), now);
                 case ERROR, CONNECTION_LOST, NO_CONNECTION -> {
-                    sample(s, Math.max(tookUs, roundUs), now);
+                    sample(s, c, Math.max(tookUs, roundUs), now);
                     bad(s, roundUs, now);
                 }
-                case NO_ANSWER -> sample(s, tookUs, now);
+                case NO_ANSWER -> sample(s, c, tookUs, now);
                 default -> {
                 }
             }
@@ -686,13 +683,17 @@
 
         /** Danger: a node that takes parts and answers none costs every lookup a round. */
         void silent(Seen s, PartCall c, long roundUs, long now) {
-            sample(s, Math.max(now - c.sentAt, (long) s.smoothedUs), now);
+            sample(s, c, Math.max(now - c.sentAt, (long) s.smoothedUs), now);
             quiet += QUIET_STEP * (1 - quiet);
             if (s.lastGoodAt < c.sentAt) {
                 bad(s, roundUs, now);
             }
         }
 
+        void late(Seen s, PartCall c, long now) {
+            sample(s, c, Math.max(now - c.sentAt, s.smoothedUs), now);
+        }
+
         private void bad(Seen s, long roundUs, long now) {
             s.bad = badness(s, now) + BAD_STEP * (1 - badness(s, now));
             if (s.bad > BENCH_AT && !benched(s, now)) {
@@ -701,7 +702,8 @@
             }
         }
 
-        private void sample(Seen s, double us, long now) {
+        private void sample(Seen s, PartCall c, double us, long now) {
+            s.usualCalls += SMOOTHING * (c.callsBefore - s.usualCalls);
             s.smoothedUs = s.smoothedUs == 0 ? us : s.smoothedUs + SMOOTHING * (us - s.smoothedUs);
             s.heardAt = now;
         }
@@ -897,15 +899,15 @@
     }
 
     /**
-     * Which lookups to nack at the door: those that would need more calls out at some node than it has of late
-     * answered within two rounds. Danger: under overload every lookup sends all its parts, all end too late,
-     * clients ask again, and the service stays down after its cause has gone. Catches bursts, retry storms,
-     * lost capacity, slowness shared by all, and shards too popular for their holders; may hurt where a node's
-     * calls are too few to tell a slow call from a slow node.
+     * Which lookups to nack at the door: those with too few parts that some holder can be expected to answer
+     * within one and a half rounds, judged by how long it took of late and how many calls were out then. A node
+     * with no call out always has room, so the judgement is renewed. Danger: under overload every lookup sends
+     * all its parts, all end too late, clients ask again, and the service stays down after its cause has gone.
+     * Catches bursts, retry storms, lost capacity, slowness shared by all, and shards too popular for their
+     * holders; may hurt where a node's calls are too few to tell a slow call from a slow node.
      */
     public static final class Admission {
-        private static final double CUT = 0.7;
-        private static final double GROW = 0.5;
+        private static final double ROUNDS = 1.5;
         private final long maxComeBackUs;
 
         /** @param maxComeBackUs 0 where clients are told no time */
@@ -913,18 +915,8 @@
             this.maxComeBackUs = maxComeBackUs;
         }
 
-        /** A part call was answered, or was turned away or still out after two rounds. */
-        void heard(Seen s, PartCall c, boolean late, long now) {
-            if (!late && s.calls + 1 >= s.window) {
-                s.window += GROW / Math.max(1, s.window);
-            } else if (late && c.sentAt >= s.cutAt) {
-                s.window = Math.max(1, CUT * Math.min(s.window, s.calls));
-                s.cutAt = now;
-            }
-        }
-
-        boolean room(Seen s) {
-            return s.calls < s.window;
+        boolean room(Seen s, long roundUs) {
+            return s.calls == 0 || s.smoothedUs * (s.calls + 1) / (s.usualCalls + 1) <= ROUNDS * roundUs;
         }
 
         /** Too few of its parts have a holder with room. */
--- a/src/main/java/tinlink/decision/PartCall.java
+++ b/src/main/java/tinlink/decision/PartCall.java
@@ -15,6 +15,8 @@
     /** Null while it is out. */
     public Outcome outcome;
     public Shared shared;
+    /** Calls that were out at its node when it was sent. */
+    public int callsBefore;
     public boolean cancelled;
     public boolean seenSilent;
     public boolean seenLate;
