--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -907,7 +907,7 @@
      * holders; may hurt where a node's calls are too few to tell a slow call from a slow node.
      */
     public static final class Admission {
-        private static final double ROUNDS = 1.5;
+        private static final double ROUNDS = 2;
         private final long maxComeBackUs;
 
         /** @param maxComeBackUs 0 where clients are told no time */
