--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -900,14 +900,16 @@
 
     /**
      * Which lookups to nack at the door: those with too few parts that some holder can be expected to answer
-     * within one and a half rounds, judged by how long it took of late and how many calls were out then. A node
+     * within a round or two, judged by how long it took of late and how many calls were out then. A node
      * with no call out always has room, so the judgement is renewed. Danger: under overload every lookup sends
      * all its parts, all end too late, clients ask again, and the service stays down after its cause has gone.
      * Catches bursts, retry storms, lost capacity, slowness shared by all, and shards too popular for their
      * holders; may hurt where a node's calls are too few to tell a slow call from a slow node.
      */
     public static final class Admission {
-        private static final double ROUNDS = 2;
+        /** A nack costs little where clients are told when to come back, and the lookup's gain where not. */
+        private static final double ROUNDS_TOLD = 1.2;
+        private static final double ROUNDS_UNTOLD = 2;
         private final long maxComeBackUs;
 
         /** @param maxComeBackUs 0 where clients are told no time */
@@ -916,7 +918,8 @@
         }
 
         boolean room(Seen s, long roundUs) {
-            return s.calls == 0 || s.smoothedUs * (s.calls + 1) / (s.usualCalls + 1) <= ROUNDS * roundUs;
+            return s.calls == 0 || s.smoothedUs * (s.calls + 1) / (s.usualCalls + 1) 
+                    <= (maxComeBackUs > 0 ? ROUNDS_TOLD : ROUNDS_UNTOLD) * roundUs;
         }
 
         /** Too few of its parts have a holder with room. */
