--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -621,7 +621,7 @@
                 int tier = trial ? 0 : (benched ? 3 : 1) + (tried ? 1 : 0);
                 boolean joins = s.currentAt == now && s.current.size < bundleMax;
                 double cost = health.latency(s, average, now) * (s.calls + 1)
-                        / (1 - health.badness(s, now)) * (joins ? 1 - callShare : 1);
+                        / (1 - health.badness(s, now)) / cold.present(s, now) * (joins ? 1 - callShare : 1);
                 if (tier < bestTier || tier == bestTier && (cost < least || cost == least && older(s, best))) {
                     best = s;
                     bestTier = tier;
