Room at a cold node counts only within its allowance

Cause: during releases lookups were taken for whose parts the one holder with room was a cold node that could not be sent more, and they waited to their end.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -206,7 +206,7 @@
             return false;
         }
         if (!lk.started) {
-            if (admission.refuses(lk, replicas) && rounds.mayNack(lk)) {
+            if (admission.refuses(lk, replicas, cold, now) && rounds.mayNack(lk)) {
                 end(lk);
                 h.nack(lk, admission.comeBack(lk));
                 return true;
@@ -562,10 +562,11 @@
             return false;
         }
 
-        boolean heldWithRoom(Part p, Admission admission) {
+        boolean heldWithRoom(Part p, Admission admission, ColdGuard cold, long now) {
             for (int j = 0; j < reach; j++) {
                 for (Seen s : byCell.get((p.shard + j) % cells)) {
-                    if (s.node.state == DataNode.State.READY && admission.room(s, p.lookup.roundUs)) {
+                    if (s.node.state == DataNode.State.READY && admission.room(s, p.lookup.roundUs)
+                            && cold.admits(s, this, now)) {
                         return true;
                     }
                 }
@@ -923,10 +924,10 @@
         }
 
         /** Too few of its parts have a holder with room. */
-        boolean refuses(Lookup lk, Replicas replicas) {
+        boolean refuses(Lookup lk, Replicas replicas, ColdGuard cold, long now) {
             double may = 0;
             for (Part p : lk.parts) {
-                may += replicas.heldWithRoom(p, this) ? p.weight : 0;
+                may += replicas.heldWithRoom(p, this, cold, now) ? p.weight : 0;
             }
             return may < lk.index.need - SLACK;
         }
