--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -806,17 +806,17 @@
                 s.coldSends.poll();
             }
             double rate = 0;
-            double latency = 0;
+            double latency = Double.MAX_VALUE;
             int like = 0;
             for (Seen w : replicas.known.values()) {
                 if (w.node.kind == s.node.kind && present(w, now) >= 1 && w.smoothedUs > 0) {
                     rate += health.rate(w, now);
-                    latency += w.smoothedUs;
+                    latency = Math.min(latency, w.smoothedUs);
                     like++;
                 }
             }
             double allowed = like == 0 ? 0 : fallMultiple * present * fallUs
-                    * Math.max(rate / like, 1 / (latency / like * groupSize));
+                    * Math.max(rate / like, 1 / (latency * groupSize));
             return s.coldSends.size() < Math.max(1, (int) (0.8 * allowed));
         }
 
