--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -673,7 +673,7 @@
                 // A full node ends calls fast; without this it would look like the fastest one.
                 case TURNED_AWAY -> sample(s, c, Math.max(2 * roundUs, s.smoothedUs), now);
                 case ERROR, CONNECTION_LOST, NO_CONNECTION -> {
-                    sample(s, c, Math.max(tookUs, roundUs), now);
+                    sample(s, c, 3 * roundUs, now);
                     bad(s, roundUs, now);
                 }
                 case NO_ANSWER -> sample(s, c, tookUs, now);
