--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -621,8 +621,9 @@
                 boolean trial = benched && !replay && health.trialDue(s, now) && p.lookup.index.need < 1;
                 int tier = trial ? 0 : (benched ? 3 : 1) + (tried ? 1 : 0);
                 boolean joins = s.currentAt == now && s.current.size < bundleMax;
-                double cost = health.latency(s, average, now) * (s.calls + 1)
-                        / (1 - health.badness(s, now)) / cold.present(s, now) * (joins ? 1 - callShare : 1);
+                // A call that goes bad costs its lookup the rounds; without this, failing fast looks quick.
+                double cost = (health.latency(s, average, now) * (s.calls + 1)
+                        + health.badness(s, now) * 3 * p.lookup.roundUs) / cold.present(s, now) * (joins ? 1 - callShare : 1);
                 if (tier < bestTier || tier == bestTier && (cost < least || cost == least && older(s, best))) {
                     best = s;
                     bestTier = tier;
@@ -672,10 +673,7 @@
                 }
                 // A full node ends calls fast; without this it would look like the fastest one.
                 case TURNED_AWAY -> sample(s, c, Math.max(2 * roundUs, s.smoothedUs), now);
-                case ERROR, CONNECTION_LOST, NO_CONNECTION -> {
-                    sample(s, c, 3 * roundUs, now);
-                    bad(s, roundUs, now);
-                }
+                case ERROR, CONNECTION_LOST, NO_CONNECTION -> bad(s, roundUs, now);
                 case NO_ANSWER -> sample(s, c, tookUs, now);
                 default -> {
                 }
@@ -697,6 +695,7 @@
 
         private void bad(Seen s, long roundUs, long now) {
             s.bad = badness(s, now) + BAD_STEP * (1 - badness(s, now));
+            s.heardAt = now;
             if (s.bad > BENCH_AT && !benched(s, now)) {
                 s.benchUs = Math.min(memoryUs / 2, Math.max(2 * roundUs, 2 * s.benchUs));
                 s.benchUntil = now + s.benchUs;
