--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -206,7 +206,7 @@
             return false;
         }
         if (!lk.started) {
-            if (admission.refuses(lk, replicas, cold, now) && rounds.mayNack(lk)) {
+            if (admission.refuses(lk, replicas, health, cold, now) && rounds.mayNack(lk)) {
                 end(lk);
                 h.nack(lk, admission.comeBack(lk));
                 return true;
@@ -562,10 +562,11 @@
             return false;
         }
 
-        boolean heldWithRoom(Part p, Admission admission, ColdGuard cold, long now) {
+        boolean heldWithRoom(Part p, Admission admission, Health health, ColdGuard cold, long now) {
+            double average = health.average(known.values(), p.lookup.roundUs, now);
             for (int j = 0; j < reach; j++) {
                 for (Seen s : byCell.get((p.shard + j) % cells)) {
-                    if (s.node.state == DataNode.State.READY && admission.room(s, p.lookup.roundUs)
+                    if (s.node.state == DataNode.State.READY && admission.room(s, health.latency(s, average, now), p.lookup.roundUs)
                             && cold.admits(s, this, now)) {
                         return true;
                     }
@@ -917,16 +918,16 @@
             this.maxComeBackUs = maxComeBackUs;
         }
 
-        boolean room(Seen s, long roundUs) {
-            return s.calls == 0 || s.smoothedUs * (s.calls + 1) / (s.usualCalls + 1) 
+        boolean room(Seen s, double latency, long roundUs) {
+            return s.calls == 0 || latency * (s.calls + 1) / (s.usualCalls + 1) 
                     <= (maxComeBackUs > 0 ? ROUNDS_TOLD : ROUNDS_UNTOLD) * roundUs;
         }
 
         /** Too few of its parts have a holder with room. */
-        boolean refuses(Lookup lk, Replicas replicas, ColdGuard cold, long now) {
+        boolean refuses(Lookup lk, Replicas replicas, Health health, ColdGuard cold, long now) {
             double may = 0;
             for (Part p : lk.parts) {
-                may += replicas.heldWithRoom(p, this, cold, now) ? p.weight : 0;
+                may += replicas.heldWithRoom(p, this, health, cold, now) ? p.weight : 0;
             }
             return may < lk.index.need - SLACK;
         }
