--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -817,7 +817,7 @@
             }
             double allowed = like == 0 ? 0 : fallMultiple * present * fallUs
                     * Math.max(rate / like, 1 / (latency * groupSize));
-            return s.coldSends.size() < Math.max(1, 0.8 * allowed);
+            return s.coldSends.size() < Math.max(1, (int) (0.8 * allowed));
         }
 
         void sent(Seen s, long now) {
