--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -315,7 +315,7 @@
         }
         // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that later
         // ones have overtaken at its node is stuck, not slow.
-        if (health.sharedTrouble(replicas.ready(), now)) {
+        if (health.sharedTrouble()) {
             silent.removeIf(p -> lastNode(p).newestAnswered <= p.calls.get(p.calls.size() - 1).sentAt);
         }
         silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
@@ -380,9 +380,6 @@
                 budget.resent(now);
             }
             cold.sent(s, now);
-            if (health.benched(s, now)) {
-                health.tried(s, p.lookup.roundUs, now);
-            }
             PartCall c = new PartCall();
             c.part = p;
             c.node = s.node;
@@ -409,10 +406,8 @@
         int calls;
         PartCall.Shared current;
         long currentAt = Long.MIN_VALUE;
-        /** Share of recent part calls that went bad, smoothed; benched while high. */
+        /** Share of recent part calls that went bad, smoothed; fades with the time since. */
         double bad;
-        long benchUntil = Long.MIN_VALUE;
-        long benchUs;
         /** Calls that were out when its answered ones were sent, smoothed. */
         double usualCalls;
         /** Parts satisfied of late, decaying; and sends within the fall time while cold. */
@@ -541,16 +536,6 @@
             return s == null ? new Seen(n) : s;
         }
 
-        List<Seen> ready() {
-            List<Seen> all = new ArrayList<>();
-            for (Seen s : known.values()) {
-                if (s.node.state == DataNode.State.READY) {
-                    all.add(s);
-                }
-            }
-            return all;
-        }
-
         boolean held(Part p) {
             for (int j = 0; j < reach; j++) {
                 for (Seen s : byCell.get((p.shard + j) % cells)) {
@@ -563,7 +548,7 @@
         }
 
         boolean heldWithRoom(Part p, Admission admission, Health health, ColdGuard cold, long now) {
-            double average = health.average(known.values(), p.lookup.roundUs, now);
+            double average = health.average(known.values(), p.lookup.roundUs);
             for (int j = 0; j < reach; j++) {
                 for (Seen s : byCell.get((p.shard + j) % cells)) {
                     if (s.node.state == DataNode.State.READY && admission.room(s, health.latency(s, average, now), p.lookup.roundUs)
@@ -601,33 +586,30 @@
 
         /**
          * The holder with the least smoothed latency times its own outstanding calls plus one; one whose call
-         * leaves in this turn costs no call of its own. Sound nodes go first, then ones that this part has
-         * tried, then benched ones. Drains: once told that a node drains or is gone, nothing new goes there,
+         * leaves in this turn costs no call of its own. Nodes that this part has tried go last. Drains: once told that a node drains or is gone, nothing new goes there,
          * grace or not.
          */
         Seen pick(Part p, Health health, ColdGuard cold, boolean replay, long now) {
-            double average = health.average(known.values(), p.lookup.roundUs, now);
-            boolean shared = health.sharedTrouble(ready(), now);
+            double average = health.average(known.values(), p.lookup.roundUs);
             double callShare = Math.min(0.9, callUs / Math.max(1, average));
             Seen best = null;
             double least = Double.MAX_VALUE;
-            int bestTier = Integer.MAX_VALUE;
+            boolean bestTried = true;
             for (Seen s : known.values()) {
                 boolean tried = tried(s, p);
                 if (s.node.state != DataNode.State.READY || !holds(s, p) || replay && tried
                         || !cold.admits(s, this, now)) {
                     continue;
                 }
-                boolean benched = !shared && health.benched(s, now);
-                boolean trial = benched && !replay && health.trialDue(s, now) && p.lookup.index.need < 1;
-                int tier = trial ? 0 : (benched ? 3 : 1) + (tried ? 1 : 0);
                 boolean joins = s.currentAt == now && s.current.size < bundleMax;
                 // A call that goes bad costs its lookup the rounds; without this, failing fast looks quick.
                 double cost = (health.latency(s, average, now) * (s.calls + 1)
                         + health.badness(s, now) * 3 * p.lookup.roundUs) / cold.present(s, now) * (joins ? 1 - callShare : 1);
-                if (tier < bestTier || tier == bestTier && (cost < least || cost == least && older(s, best))) {
+                boolean better = tried != bestTried ? bestTried
+                        : cost < least || cost == least && (best == null || older(s, best));
+                if (best == null || better) {
                     best = s;
-                    bestTier = tier;
+                    bestTried = tried;
                     least = cost;
                 }
             }
@@ -644,8 +626,7 @@
     public static final class Health {
         /** Smoothing weight of the companion: the one figure the design leaves open. */
         private static final double SMOOTHING = 0.2;
-        private static final double BAD_STEP = 0.25;
-        private static final double BENCH_AT = 0.4;
+        private static final double BAD_STEP = 0.35;
         private static final double QUIET_STEP = 0.05;
         private static final double SHARED = 0.3;
         private final long memoryUs;
@@ -665,16 +646,12 @@
                     s.newestAnswered = Math.max(s.newestAnswered, c.sentAt);
                     quiet -= c.seenSilent ? 0 : QUIET_STEP * quiet;
                     s.bad -= BAD_STEP * s.bad;
-                    if (c.sentAt >= s.benchUntil - s.benchUs) {
-                        s.benchUntil = Long.MIN_VALUE;
-                        s.benchUs /= 2;
-                    }
                     s.done = doneNow(s, now) + 1;
                     s.doneAt = now;
                 }
                 // A full node ends calls fast; without this it would look like the fastest one.
                 case TURNED_AWAY -> sample(s, c, Math.max(2 * roundUs, s.smoothedUs), now);
-                case ERROR, CONNECTION_LOST, NO_CONNECTION -> bad(s, roundUs, now);
+                case ERROR, CONNECTION_LOST, NO_CONNECTION -> bad(s, now);
                 case NO_ANSWER -> sample(s, c, tookUs, now);
                 default -> {
                 }
@@ -686,7 +663,7 @@
             sample(s, c, Math.max(now - c.sentAt, (long) s.smoothedUs), now);
             quiet += QUIET_STEP * (1 - quiet);
             if (s.lastGoodAt < c.sentAt) {
-                bad(s, roundUs, now);
+                bad(s, now);
             }
         }
 
@@ -694,13 +671,9 @@
             sample(s, c, Math.max(now - c.sentAt, s.smoothedUs), now);
         }
 
-        private void bad(Seen s, long roundUs, long now) {
+        private void bad(Seen s, long now) {
             s.bad = badness(s, now) + BAD_STEP * (1 - badness(s, now));
             s.heardAt = now;
-            if (s.bad > BENCH_AT && !benched(s, now)) {
-                s.benchUs = Math.min(memoryUs / 2, Math.max(2 * roundUs, 2 * s.benchUs));
-                s.benchUntil = now + s.benchUs;
-            }
         }
 
         private void sample(Seen s, PartCall c, double us, long now) {
@@ -713,31 +686,17 @@
             return s.bad * Math.exp(-(double) (now - s.heardAt) / memoryUs);
         }
 
-        boolean benched(Seen s, long now) {
-            return false;
-        }
-
-        /** The way back: one ordinary part call at a time, where the lookup can spare the part. */
-        boolean trialDue(Seen s, long now) {
-            return now >= s.benchUntil && s.calls == 0;
-        }
-
-        void tried(Seen s, long roundUs, long now) {
-            s.benchUs = Math.min(memoryUs / 2, Math.max(2 * roundUs, 2 * s.benchUs));
-            s.benchUntil = now + s.benchUs;
-        }
-
         /** Unheard nodes count as average, or a round at the start; old verdicts fade to the average. */
         double latency(Seen s, double average, long now) {
             return s.smoothedUs == 0 ? average
                     : average + (s.smoothedUs - average) * Math.exp(-(double) (now - s.heardAt) / memoryUs);
         }
 
-        double average(Iterable<Seen> nodes, long roundUs, long now) {
+        double average(Iterable<Seen> nodes, long roundUs) {
             double sum = 0;
             int n = 0;
             for (Seen s : nodes) {
-                if (s.smoothedUs > 0 && !benched(s, now)) {
+                if (s.smoothedUs > 0) {
                     sum += s.smoothedUs;
                     n++;
                 }
@@ -745,16 +704,12 @@
             return n == 0 ? roundUs : sum / n;
         }
 
-        /** Danger: replays for what all nodes are slow at only add to it. */
-        boolean sharedTrouble(List<Seen> ready, long now) {
-            if (quiet > SHARED) {
-                return true;
-            }
-            int benched = 0;
-            for (Seen s : ready) {
-                benched += benched(s, now) ? 1 : 0;
-            }
-            return 2 * benched > ready.size();
+        /**
+         * Danger: replays for what all nodes are slow at only add to it. Catches overload, bursts and whatever
+         * the nodes share; may hurt where a third of them hang at once.
+         */
+        boolean sharedTrouble() {
+            return quiet > SHARED;
         }
 
         double doneNow(Seen s, long now) {
