--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -603,8 +603,10 @@
                 }
                 boolean joins = s.currentAt == now && s.current.size < bundleMax;
                 // A call that goes bad costs its lookup the rounds; without this, failing fast looks quick.
+                // Lookups that can spare a part are the trials by which a node finds its way back.
+                double toll = (p.lookup.index.need < 1 ? 3 : 9) * p.lookup.roundUs;
                 double cost = (health.latency(s, average, now) * (s.calls + 1)
-                        + health.badness(s, now) * 3 * p.lookup.roundUs) / cold.present(s, now) * (joins ? 1 - callShare : 1);
+                        + health.badness(s, now) * toll) / cold.present(s, now) * (joins ? 1 - callShare : 1);
                 boolean better = tried != bestTried ? bestTried
                         : cost < least || cost == least && (best == null || older(s, best));
                 if (best == null || better) {
