--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -809,8 +809,8 @@
 
         void took(long now, boolean part) {
             if (part) {
-                replays = Math.min(REPLAYS * cap, replays + REPLAYS);
-                resends = Math.min(RESENDS * cap, resends + RESENDS);
+                replays = Math.min(cap, replays + REPLAYS);
+                resends = Math.min(cap, resends + RESENDS);
             }
             if (lookBackUs > 0) {
                 taken.add(now);
