--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -315,7 +315,7 @@
         }
         // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that later
         // ones have overtaken at its node is stuck, not slow.
-        if (health.sharedTrouble(replicas.known.values(), now)) {
+        if (health.sharedTrouble()) {
             silent.removeIf(p -> lastNode(p).newestAnswered <= p.calls.get(p.calls.size() - 1).sentAt);
         }
         silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
@@ -406,8 +406,6 @@
         int calls;
         PartCall.Shared current;
         long currentAt = Long.MIN_VALUE;
-        /** Share of its part calls, smoothed, that were still out after a round. */
-        double quiet;
         /** Share of recent part calls that went bad, smoothed; fades with the time since. */
         double bad;
         /** Calls that were out when its answered ones were sent, smoothed. */
@@ -631,8 +629,11 @@
         /** Smoothing weight of the companion: the one figure the design leaves open. */
         private static final double SMOOTHING = 0.2;
         private static final double BAD_STEP = 0.35;
+        private static final double QUIET_STEP = 0.05;
         private static final double SHARED = 0.3;
         private final long memoryUs;
+        /** Share of part calls, smoothed, that were still out after a round. */
+        private double quiet;
 
         /** @param softUs the longest soft deadline of any index; what was seen fades over a few of these */
         public Health(long softUs) {
@@ -645,7 +646,7 @@
                     sample(s, c, tookUs, now);
                     s.lastGoodAt = now;
                     s.newestAnswered = Math.max(s.newestAnswered, c.sentAt);
-                    s.quiet -= c.seenSilent ? 0 : SMOOTHING * s.quiet;
+                    quiet -= c.seenSilent ? 0 : QUIET_STEP * quiet;
                     s.bad -= BAD_STEP * s.bad;
                     s.done = doneNow(s, now) + 1;
                     s.doneAt = now;
@@ -662,7 +663,7 @@
         /** Danger: a node that takes parts and answers none costs every lookup a round. */
         void silent(Seen s, PartCall c, long roundUs, long now) {
             sample(s, c, Math.max(now - c.sentAt, (long) s.smoothedUs), now);
-            s.quiet += SMOOTHING * (1 - s.quiet);
+            quiet += QUIET_STEP * (1 - quiet);
             if (s.lastGoodAt < c.sentAt) {
                 bad(s, now);
             }
@@ -709,14 +710,8 @@
          * Danger: replays for what all nodes are slow at only add to it. Catches overload, bursts and whatever
          * the nodes share; may hurt where a third of them hang at once.
          */
-        boolean sharedTrouble(Iterable<Seen> nodes, long now) {
-            double sum = 0;
-            int n = 0;
-            for (Seen s : nodes) {
-                sum += s.quiet * Math.exp(-(double) (now - s.heardAt) / memoryUs);
-                n++;
-            }
-            return sum > SHARED * n;
+        boolean sharedTrouble() {
+            return quiet > SHARED;
         }
 
         double doneNow(Seen s, long now) {
