--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -215,12 +215,11 @@
             lk.startedAt = now;
             // All k parts leave together.
             place(lk.parts, false);
-            lk.replayAt = now + lk.roundUs;
-            lk.lookAt = Math.min(lk.endAt, lk.replayAt);
+            lk.lookAt = Math.min(lk.endAt, now + lk.roundUs);
             return !outbox.isEmpty() || step(lk, h);
         }
-        if (now >= lk.replayAt) {
-            lk.replayAt = rounds.secondCopies ? NEVER : now + lk.roundUs;
+        if (!lk.replayed && now >= lk.startedAt + lk.roundUs) {
+            lk.replayed = true;
             replay(lk, in);
         }
         sendAgain(lk, in);
@@ -236,7 +235,7 @@
                 }
             }
         }
-        lk.lookAt = Math.min(lk.lookAt, Math.min(lk.replayAt, lk.heard ? lk.endAt : lateAt));
+        lk.lookAt = Math.min(lk.lookAt, !lk.replayed ? lk.startedAt + lk.roundUs : lk.heard ? lk.endAt : lateAt);
         return !outbox.isEmpty() || !surplus.isEmpty();
     }
 
@@ -305,19 +304,19 @@
         List<Part> silent = new ArrayList<>();
         for (Part p : lk.parts) {
             for (PartCall c : p.calls) {
-                if (c.outcome == null && !c.seenSilent && now - c.sentAt >= lk.roundUs) {
+                if (c.outcome == null && !c.seenSilent) {
                     c.seenSilent = true;
                     health.silent(replicas.seen(c.node), c, lk.roundUs, now);
                 }
             }
-            if (!p.satisfied && p.out > 0 && now - lastSent(p) >= lk.roundUs) {
+            if (!p.satisfied && p.out > 0) {
                 silent.add(p);
             }
         }
         // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that later
         // ones have overtaken at its node is stuck, not slow.
         if (health.sharedTrouble()) {
-            silent.removeIf(p -> !rounds.mayGiveUpSilent(p) && lastNode(p).newestAnswered <= lastSent(p));
+            silent.removeIf(p -> lastNode(p).newestAnswered <= p.calls.get(p.calls.size() - 1).sentAt);
         }
         silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
         double missing = needed(lk) - SLACK - in;
@@ -329,7 +328,7 @@
                 if (place(List.of(p), true)) {
                     missing -= p.weight;
                 }
-            } else if (rounds.mayGiveUpSilent(p) && lastNode(p).lastGoodAt < lastSent(p)
+            } else if (rounds.mayGiveUpSilent(p) && lastNode(p).lastGoodAt < p.calls.get(0).sentAt
                     && budget.mayReplay(now)) {
                 // No second copies here: a node that has answered nothing since loses the part (departure).
                 budget.replayed(now);
@@ -340,10 +339,6 @@
         }
     }
 
-    private long lastSent(Part p) {
-        return p.calls.get(p.calls.size() - 1).sentAt;
-    }
-
     private Seen lastNode(Part p) {
         return replicas.seen(p.calls.get(p.calls.size() - 1).node);
     }
@@ -450,7 +445,7 @@
                     : Math.min(last, Math.max(lk.arrivedAt + lk.index.softUs, now + 3 * lk.roundUs));
             lk.lookAt = now;
             lk.started = false;
-            lk.replayAt = NEVER;
+            lk.replayed = false;
             lk.heard = lk.secondStep;
         }
 
--- a/src/main/java/tinlink/decision/Lookup.java
+++ b/src/main/java/tinlink/decision/Lookup.java
@@ -23,7 +23,7 @@
     public long lookAt;
     public long startedAt;
     public boolean started;
-    public long replayAt;
+    public boolean replayed;
     /** Admission has heard how it went. */
     public boolean heard;
     public boolean touched;
