--- a/src/main/java/tinlink/benchlink/Instance.java
+++ b/src/main/java/tinlink/benchlink/Instance.java
@@ -252,13 +252,15 @@
 
     @Override
     public void send(PartCall call, long limitUs) {
-        out.append("transmit ").append(((HeldPart) call.part).xid).append(' ').append(call.node.id).append(' ');
+        String xid = ((HeldPart) call.part).xid;
+        out.append("transmit ").append(xid).append(' ').append(call.node.id).append(' ');
         time(limitUs);
     }
 
     @Override
     public void cancel(PartCall call) {
-        out.append("call_off ").append(((HeldPart) call.part).xid).append(' ').append(call.number).append('\n');
+        String xid = ((HeldPart) call.part).xid;
+        out.append("call_off ").append(xid).append(' ').append(call.number).append('\n');
     }
 
     @Override
--- a/src/main/java/tinlink/benchlink/Line.java
+++ b/src/main/java/tinlink/benchlink/Line.java
@@ -101,7 +101,8 @@
 
     static long micros(String name, String what, String millis) {
         try {
-            return new BigDecimal(millis).movePointRight(3).setScale(0, RoundingMode.HALF_UP).longValueExact();
+            BigDecimal us = new BigDecimal(millis).movePointRight(3);
+            return us.setScale(0, RoundingMode.HALF_UP).longValueExact();
         } catch (ArithmeticException | NumberFormatException e) {
             throw new BadInput(name + ": field '" + what + "' is no time: " + millis);
         }
--- a/src/main/java/tinlink/benchlink/StartFigures.java
+++ b/src/main/java/tinlink/benchlink/StartFigures.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** The path=value pairs an instance is started with. Unknown ones are never asked for, so they are skipped. */
+/** The path=value pairs an instance is started with. Unknown ones are never asked for. */
 final class StartFigures {
     private final Map<String, String> pairs = new HashMap<>();
 
--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -224,8 +224,8 @@
         }
         sendAgain(lk, in);
         long lateAt = lk.startedAt + 3 * lk.roundUs / 2;
-        if (!lk.heard && now >= lateAt) {
-            lk.heard = true;
+        if (!lk.lateSeen && now >= lateAt) {
+            lk.lateSeen = true;
             for (Part p : lk.parts) {
                 for (PartCall c : p.calls) {
                     if (c.outcome == null && !c.seenLate && 2 * (now - c.sentAt) >= 3 * lk.roundUs) {
@@ -235,7 +235,8 @@
                 }
             }
         }
-        lk.lookAt = Math.min(lk.lookAt, !lk.replayed ? lk.startedAt + lk.roundUs : lk.heard ? lk.endAt : lateAt);
+        long next = !lk.replayed ? lk.startedAt + lk.roundUs : lk.lateSeen ? lk.endAt : lateAt;
+        lk.lookAt = Math.min(lk.lookAt, next);
         return !outbox.isEmpty() || !surplus.isEmpty();
     }
 
@@ -313,8 +314,8 @@
                 silent.add(p);
             }
         }
-        // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that later
-        // ones have overtaken at its node is stuck, not slow.
+        // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that
+        // later ones have overtaken at its node is stuck, not slow.
         if (health.sharedTrouble()) {
             silent.removeIf(p -> lastNode(p).newestAnswered <= p.calls.get(p.calls.size() - 1).sentAt);
         }
@@ -439,14 +440,14 @@
             // Two steps of the clock early: a timer fires up to one late, and the client's end is final.
             long last = Math.max(now, lk.leavesAt - 2 * stepUs);
             lk.roundUs = Math.max(stepUs, Math.min(lk.index.softUs, last - now) / 3);
-            // Departure: where all parts are needed and a late answer still has gain, an abort at the aim would
-            // only make the client ask for all of it again.
+            // Departure: where all parts are needed and a late answer still has gain, an abort at the aim
+            // would only make the client ask for all of it again.
             lk.endAt = lk.index.need >= 1 && lk.index.lateGain > 0 ? last
                     : Math.min(last, Math.max(lk.arrivedAt + lk.index.softUs, now + 3 * lk.roundUs));
             lk.lookAt = now;
             lk.started = false;
             lk.replayed = false;
-            lk.heard = lk.secondStep;
+            lk.lateSeen = false;
         }
 
         /** Danger: an effect that happens twice. */
@@ -496,29 +497,21 @@
         private final int bundleMax;
         private final long callUs;
         private final Map<DataNode, Seen> known = new LinkedHashMap<>();
-        private final List<List<Seen>> byCell = new ArrayList<>();
 
         public Replicas(int cells, int reach, int bundleMax, long callUs) {
             this.cells = cells;
             this.reach = reach;
             this.bundleMax = Math.max(1, bundleMax);
             this.callUs = callUs;
-            for (int i = 0; i < cells; i++) {
-                byCell.add(new ArrayList<>());
-            }
         }
 
         void listed(DataNode n, boolean restarted) {
             Seen s = known.get(n);
             if (s == null || restarted) {
-                int calls = s == null ? 0 : s.calls;
-                if (s != null) {
-                    byCell.get(Math.floorMod(n.cell, cells)).remove(s);
-                }
-                s = new Seen(n);
-                s.calls = calls;
-                known.put(n, s);
-                byCell.get(Math.floorMod(n.cell, cells)).add(s);
+                Seen fresh = new Seen(n);
+                fresh.calls = s == null ? 0 : s.calls;
+                known.put(n, fresh);
+                s = fresh;
             }
             forgetIfGone(s);
         }
@@ -526,7 +519,6 @@
         void forgetIfGone(Seen s) {
             if (s.node.state == DataNode.State.GONE && s.calls == 0) {
                 known.remove(s.node);
-                byCell.get(Math.floorMod(s.node.cell, cells)).remove(s);
             }
         }
 
@@ -537,31 +529,25 @@
         }
 
         boolean held(Part p) {
-            for (int j = 0; j < reach; j++) {
-                for (Seen s : byCell.get((p.shard + j) % cells)) {
-                    if (s.node.state == DataNode.State.READY) {
-                        return true;
-                    }
-                }
-            }
-            return false;
+            return known.values().stream().anyMatch(s -> holds(s, p));
         }
 
         boolean heldWithRoom(Part p, Admission admission, Health health, ColdGuard cold, long now) {
-            double average = health.average(known.values(), p.lookup.roundUs);
-            for (int j = 0; j < reach; j++) {
-                for (Seen s : byCell.get((p.shard + j) % cells)) {
-                    if (s.node.state == DataNode.State.READY && admission.room(s, health.latency(s, average, now), p.lookup.roundUs)
-                            && cold.admits(s, this, now)) {
-                        return true;
-                    }
+            long roundUs = p.lookup.roundUs;
+            double average = health.average(known.values(), roundUs);
+            for (Seen s : known.values()) {
+                if (holds(s, p) && admission.room(s, health.latency(s, average, now), roundUs)
+                        && cold.admits(s, this, now)) {
+                    return true;
                 }
             }
             return false;
         }
 
+        /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
         private boolean holds(Seen s, Part p) {
-            return Math.floorMod(s.node.cell - p.shard, cells) < reach;
+            return s.node.state == DataNode.State.READY
+                    && Math.floorMod(s.node.cell - p.shard, cells) < reach;
         }
 
         private boolean tried(Seen s, Part p) {
@@ -586,8 +572,7 @@
 
         /**
          * The holder with the least smoothed latency times its own outstanding calls plus one; one whose call
-         * leaves in this turn costs no call of its own. Nodes that this part has tried go last. Drains: once told that a node drains or is gone, nothing new goes there,
-         * grace or not.
+         * leaves in this turn costs no call of its own. Nodes that this part has tried go last.
          */
         Seen pick(Part p, Health health, ColdGuard cold, boolean replay, long now) {
             double average = health.average(known.values(), p.lookup.roundUs);
@@ -597,16 +582,16 @@
             boolean bestTried = true;
             for (Seen s : known.values()) {
                 boolean tried = tried(s, p);
-                if (s.node.state != DataNode.State.READY || !holds(s, p) || replay && tried
-                        || !cold.admits(s, this, now)) {
+                if (!holds(s, p) || replay && tried || !cold.admits(s, this, now)) {
                     continue;
                 }
                 boolean joins = s.currentAt == now && s.current.size < bundleMax;
                 // A call that goes bad costs its lookup the rounds; without this, failing fast looks quick.
                 // Lookups that can spare a part are the trials by which a node finds its way back.
                 double toll = (p.lookup.index.need < 1 ? 3 : 9) * p.lookup.roundUs;
-                double cost = (health.latency(s, average, now) * (s.calls + 1)
-                        + health.badness(s, now) * toll) / cold.present(s, now) * (joins ? 1 - callShare : 1);
+                double doubt = health.badness(s, now) * toll;
+                double cost = (health.latency(s, average, now) * (s.calls + 1) + doubt)
+                        / cold.present(s, now) * (joins ? 1 - callShare : 1);
                 boolean better = tried != bestTried ? bestTried
                         : cost < least || cost == least && (best == null || older(s, best));
                 if (best == null || better) {
@@ -707,8 +692,8 @@
         }
 
         /**
-         * Danger: replays for what all nodes are slow at only add to it. Catches overload, bursts and whatever
-         * the nodes share; may hurt where a third of them hang at once.
+         * Danger: replays for what all nodes are slow at only add to it. Catches overload, bursts and
+         * whatever the nodes share; may hurt where a third of them hang at once.
          */
         boolean sharedTrouble() {
             return quiet > SHARED;
@@ -859,10 +844,11 @@
     /**
      * Which lookups to nack at the door: those with too few parts that some holder can be expected to answer
      * within a round or two, judged by how long it took of late and how many calls were out then. A node
-     * with no call out always has room, so the judgement is renewed. Danger: under overload every lookup sends
-     * all its parts, all end too late, clients ask again, and the service stays down after its cause has gone.
-     * Catches bursts, retry storms, lost capacity, slowness shared by all, and shards too popular for their
-     * holders; may hurt where a node's calls are too few to tell a slow call from a slow node.
+     * with no call out always has room, so the judgement is renewed. Danger: under overload every lookup
+     * sends all its parts, all end too late, clients ask again, and the service stays down after its cause
+     * has gone. Catches bursts, retry storms, lost capacity, slowness shared by all, and shards too
+     * popular for their holders; may hurt where a node's calls are too few to tell a slow call from a
+     * slow node.
      */
     public static final class Admission {
         /** A nack costs little where clients are told when to come back, and the lookup's gain where not. */
@@ -876,7 +862,7 @@
         }
 
         boolean room(Seen s, double latency, long roundUs) {
-            return s.calls == 0 || latency * (s.calls + 1) / (s.usualCalls + 1) 
+            return s.calls == 0 || latency * (s.calls + 1) / (s.usualCalls + 1)
                     <= (maxComeBackUs > 0 ? ROUNDS_TOLD : ROUNDS_UNTOLD) * roundUs;
         }
 
--- a/src/main/java/tinlink/decision/Lookup.java
+++ b/src/main/java/tinlink/decision/Lookup.java
@@ -24,8 +24,8 @@
     public long startedAt;
     public boolean started;
     public boolean replayed;
-    /** Admission has heard how it went. */
-    public boolean heard;
+    /** Its part calls that were out after one and a half rounds have been judged. */
+    public boolean lateSeen;
     public boolean touched;
     public boolean secondStep;
     public boolean firstWhole = true;
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -19,8 +19,9 @@
 
 /** Plays one scenario against the module; docs/scenarios.md has the notation. */
 final class Player implements Host {
-    private final Map<String, String> figures = new HashMap<>(Map.of("step", "1", "tries", "4", "copies", "yes",
-            "cancel", "yes", "cells", "4", "reach", "2", "bundle", "1", "call", "0", "group", "1"));
+    private final Map<String, String> figures = new HashMap<>(Map.of("step", "1", "tries", "4",
+            "copies", "yes", "cancel", "yes",
+            "cells", "4", "reach", "2", "bundle", "1", "call", "0", "group", "1"));
     private final Map<String, Index> indexes = new LinkedHashMap<>();
     private final Map<Long, DataNode> nodes = new LinkedHashMap<>();
     private final Map<String, Lookup> lookups = new HashMap<>();
@@ -145,6 +146,7 @@
         x.need = after(w, "need").isEmpty() ? 1 : Double.parseDouble(after(w, "need").get(0));
         x.floor = after(w, "floor").isEmpty() ? x.need : Double.parseDouble(after(w, "floor").get(0));
         x.secondStep = after(w, "second").isEmpty() ? 0 : Integer.parseInt(after(w, "second").get(0));
+        x.lateGain = Arrays.asList(w).contains("late") ? 0.3 : 0;
         for (Index.Effect e : Index.Effect.values()) {
             if (Arrays.asList(w).contains(e.name().toLowerCase().replace('_', '-'))) {
                 x.effect = e;
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -20,7 +20,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import tinlink.benchlink.BenchLink;
 
-/** Plays every scenario: those of the module through {@link Player}, those of the wire through the adapter. */
+/** Plays every scenario: the module's through {@link Player}, the wire's through the adapter. */
 class ScenarioTest {
     private static final Path DIR = Path.of("src/test/resources/scenarios");
 
@@ -61,8 +61,9 @@
         List<String> lines = Files.readAllLines(DIR.resolve(file));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int status = new BenchLink(new ByteArrayInputStream(pick(lines, "> ").getBytes(StandardCharsets.UTF_8)),
-                out, new PrintStream(err, true, StandardCharsets.UTF_8)).run();
+        byte[] in = pick(lines, "> ").getBytes(StandardCharsets.UTF_8);
+        int status = new BenchLink(new ByteArrayInputStream(in), out,
+                new PrintStream(err, true, StandardCharsets.UTF_8)).run();
         assertEquals(pick(lines, "< "), out.toString(StandardCharsets.UTF_8));
         assertEquals(pick(lines, "! "), err.toString(StandardCharsets.UTF_8));
         assertEquals(pick(lines, "! ").isEmpty() ? 0 : 1, status);
