Rounds follow clients that leave long before the time they state

Cause: clients leave 0.6 to 1.4 s after asking, stating 1.8 to 4.9 s; replays and nacks came after they had gone. Told from slow nodes by the leaves' times. Should also cover a front layer with a time-out of its own; may hurt where one kind of client alone is impatient.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -123,6 +123,7 @@
 
     @Override
     public void clientGone(Lookup lk) {
+        rounds.left(lk, true, now);
         end(lk);
     }
 
@@ -278,6 +279,7 @@
             lk.parts = new ArrayList<>();
             rounds.begin(lk, now);
         } else {
+            rounds.left(lk, false, now);
             end(lk);
         }
         h.answer(lk, whole);
@@ -423,10 +425,15 @@
 
     /** The rounds of a lookup, and the guard against repeated effects. */
     public static final class Rounds {
+        private static final double LEAVE_STEP = 0.05;
+        private static final double LEAVING = 0.1;
         private final long stepUs;
         private final int tryLimit;
         private final boolean secondCopies;
         private final boolean mayCancel;
+        /** Share of lookups, smoothed, whose clients left early, and how long after asking. */
+        private double leaving;
+        private double leaveUs;
 
         public Rounds(long stepUs, int tryLimit, boolean secondCopies, boolean mayCancel) {
             this.stepUs = stepUs;
@@ -439,7 +446,7 @@
         void begin(Lookup lk, long now) {
             // Two steps of the clock early: a timer fires up to one late, and the client's end is final.
             long last = Math.max(now, lk.leavesAt - 2 * stepUs);
-            lk.roundUs = Math.max(stepUs, Math.min(lk.index.softUs, last - now) / 3);
+            lk.roundUs = Math.max(stepUs, Math.min(patience(lk.index.softUs), last - now) / 3);
             // Departure: where all parts are needed and a late answer still has gain, an abort at the aim
             // would only make the client ask for all of it again.
             lk.endAt = lk.index.need >= 1 && lk.index.lateGain > 0 ? last
@@ -450,6 +457,23 @@
             lk.lateSeen = false;
         }
 
+        /**
+         * Danger: clients that leave long before the time they state, and ask again: all that was sent for
+         * them is lost. While over one in ten leaves, a round is a third of the time after which they do.
+         * May hurt where one kind of client alone is impatient.
+         */
+        private long patience(long softUs) {
+            return leaving > LEAVING ? Math.min(softUs, (long) leaveUs) : softUs;
+        }
+
+        void left(Lookup lk, boolean client, long now) {
+            boolean early = client && now < lk.leavesAt - lk.roundUs;
+            leaving += LEAVE_STEP * ((early ? 1 : 0) - leaving);
+            if (early) {
+                leaveUs += (leaveUs == 0 ? 1 : 4 * LEAVE_STEP) * (now - lk.arrivedAt - leaveUs);
+            }
+        }
+
         /** Danger: an effect that happens twice. */
         boolean mayCall(Part p, long now) {
             if (p.calls.size() >= tryLimit || p.out > 0 && !secondCopies) {
