Nodes that were never heard have room: no nack without evidence

Cause: a fresh router counted each node's latency as a round, so the second lookup in a turn could be nacked with nothing known. May hurt where a router comes back in the middle of an overload.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -886,7 +886,7 @@
         }
 
         boolean room(Seen s, double latency, long roundUs) {
-            return s.calls == 0 || latency * (s.calls + 1) / (s.usualCalls + 1)
+            return s.calls == 0 || s.smoothedUs == 0 || latency * (s.calls + 1) / (s.usualCalls + 1)
                     <= (maxComeBackUs > 0 ? ROUNDS_TOLD : ROUNDS_UNTOLD) * roundUs;
         }
 
