Leave what is seen after the router's own stall out of its judgement

Cause: two routers stand still 1.1 to 2.6 s every few seconds and take the delay for slow nodes. Told by their own timers. Should also cover long collections of memory and a host that is overbooked; may hurt where timers alone are late.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -35,6 +35,7 @@
     private final ArrayDeque<PartCall> surplus = new ArrayDeque<>();
     private long now;
     private long armed = NEVER;
+    private long stalledAt = NEVER;
 
     public FastestValid(Rounds rounds, Replicas replicas, Health health, ColdGuard cold, Budget budget,
                         Admission admission, ListFollowing list) {
@@ -49,9 +50,17 @@
 
     // ---- Inputs: they only update what is known. ----
 
+    /**
+     * Danger: a router that itself stood still takes its own delay for slow nodes, and nacks. Its timers tell:
+     * one that comes late by many steps of the clock means that what came with it was seen late too.
+     */
     @Override
     public void clock(long nowUs) {
         now = nowUs;
+        if (now - armed > rounds.stallUs()) {
+            armed = NEVER;
+            stalledAt = now;
+        }
     }
 
     @Override
@@ -79,7 +88,7 @@
         if (--c.shared.open == 0) {
             s.calls--;
         }
-        health.outcome(s, c, how, tookUs, p.lookup.roundUs, now);
+        health.outcome(s, c, how, now == stalledAt ? -1 : tookUs, p.lookup.roundUs, now);
         replicas.forgetIfGone(s);
         if (p.lookup.ended) {
             return;
@@ -427,6 +436,7 @@
     public static final class Rounds {
         private static final double LEAVE_STEP = 0.05;
         private static final double LEAVING = 0.1;
+        private static final long STALL_STEPS = 20;
         private final long stepUs;
         private final int tryLimit;
         private final boolean secondCopies;
@@ -474,6 +484,10 @@
             }
         }
 
+        long stallUs() {
+            return STALL_STEPS * stepUs;
+        }
+
         /** Danger: an effect that happens twice. */
         boolean mayCall(Part p, long now) {
             if (p.calls.size() >= tryLimit || p.out > 0 && !secondCopies) {
@@ -649,6 +663,7 @@
             memoryUs = 4 * softUs;
         }
 
+        /** @param tookUs below 0 where the router can't tell */
         void outcome(Seen s, PartCall c, Outcome how, long tookUs, long roundUs, long now) {
             switch (how) {
                 case SATISFIED -> {
@@ -688,6 +703,9 @@
         }
 
         private void sample(Seen s, PartCall c, double us, long now) {
+            if (us < 0) {
+                return;
+            }
             s.usualCalls += SMOOTHING * (c.callsBefore - s.usualCalls);
             s.smoothedUs = s.smoothedUs == 0 ? us : s.smoothedUs + SMOOTHING * (us - s.smoothedUs);
             s.heardAt = now;
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -60,6 +60,11 @@
                 nothingLeft();
                 until((long) (1000 * Double.parseDouble(w[1])));
             }
+            case "stall" -> {
+                settle();
+                now = ms(w[1]);
+                module().clock(now);
+            }
             case "=" -> {
                 settle();
                 String want = String.join(" ", Arrays.copyOfRange(w, 1, w.length));
