--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -38,8 +38,8 @@
             no++;
             String line = raw.replaceAll("#\\s.*|^#.*", "").trim();
             try {
-                if (!line.isEmpty()) {
-                    line(line.split("\\s+"));
+                for (String one : line.isEmpty() ? new String[0] : line.split(";\\s*")) {
+                    line(one.split("\\s+"));
                 }
             } catch (RuntimeException | AssertionError e) {
                 throw new AssertionError("line " + no + ": " + raw.trim() + "\n  " + e.getMessage(), e);
