--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -677,12 +677,7 @@
                 }
                 // A full node ends calls fast; without this it would look like the fastest one.
                 case TURNED_AWAY -> sample(s, c, Math.max(2 * roundUs, s.smoothedUs), now);
-                case ERROR, CONNECTION_LOST -> bad(s, now);
-                case NO_CONNECTION -> {
-                    // No process answers: worth two failures of one that does.
-                    bad(s, now);
-                    bad(s, now);
-                }
+                case ERROR, CONNECTION_LOST, NO_CONNECTION -> bad(s, now);
                 case NO_ANSWER -> sample(s, c, tookUs, now);
                 default -> {
                 }
