--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -51,8 +51,8 @@
     // ---- Inputs: they only update what is known. ----
 
     /**
-     * Danger: a router that itself stood still takes its own delay for slow nodes, and nacks. Its timers tell:
-     * one that comes late by many steps of the clock means that what came with it was seen late too.
+     * Danger: a router that itself stood still takes its own delay for slow nodes, and nacks. Its timers
+     * tell: one that comes late by many steps of the clock means that what came with it was seen late too.
      */
     @Override
     public void clock(long nowUs) {
@@ -238,8 +238,7 @@
             lk.lateSeen = true;
             for (Part p : lk.parts) {
                 for (PartCall c : p.calls) {
-                    if (c.outcome == null && !c.seenLate && 2 * (now - c.sentAt) >= 3 * lk.roundUs) {
-                        c.seenLate = true;
+                    if (c.outcome == null && 2 * (now - c.sentAt) >= 3 * lk.roundUs) {
                         health.late(replicas.seen(c.node), c, now);
                     }
                 }
@@ -328,7 +327,7 @@
         // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that
         // later ones have overtaken at its node is stuck, not slow.
         if (health.sharedTrouble()) {
-            silent.removeIf(p -> lastNode(p).newestAnswered <= p.calls.get(p.calls.size() - 1).sentAt);
+            silent.removeIf(p -> lastNode(p).newestAnswered <= lastCall(p).sentAt);
         }
         silent.sort((a, b) -> Long.compare(lastNode(a).lastGoodAt, lastNode(b).lastGoodAt));
         double missing = needed(lk) - SLACK - in;
@@ -351,8 +350,12 @@
         }
     }
 
+    private static PartCall lastCall(Part p) {
+        return p.calls.get(p.calls.size() - 1);
+    }
+
     private Seen lastNode(Part p) {
-        return replicas.seen(p.calls.get(p.calls.size() - 1).node);
+        return replicas.seen(lastCall(p).node);
     }
 
     /** Parts that were never sent, or whose part calls all ended without an answer. */
@@ -630,9 +633,8 @@
                 double doubt = health.badness(s, now) * toll;
                 double cost = (health.latency(s, average, now) * (s.calls + 1) + doubt)
                         / cold.present(s, now) * (joins ? 1 - callShare : 1);
-                boolean better = tried != bestTried ? bestTried
-                        : cost < least || cost == least && (best == null || older(s, best));
-                if (best == null || better) {
+                if (best == null || (tried != bestTried ? bestTried
+                        : cost < least || cost == least && older(s, best))) {
                     best = s;
                     bestTried = tried;
                     least = cost;
@@ -686,7 +688,7 @@
 
         /** Danger: a node that takes parts and answers none costs every lookup a round. */
         void silent(Seen s, PartCall c, long roundUs, long now) {
-            sample(s, c, Math.max(now - c.sentAt, (long) s.smoothedUs), now);
+            late(s, c, now);
             quiet += QUIET_STEP * (1 - quiet);
             if (s.lastGoodAt < c.sentAt) {
                 bad(s, now);
@@ -711,14 +713,19 @@
             s.heardAt = now;
         }
 
+        /** What is left of evidence from that time. */
+        private double fade(long at, long now) {
+            return Math.exp(-(double) (now - at) / memoryUs);
+        }
+
         double badness(Seen s, long now) {
-            return s.bad * Math.exp(-(double) (now - s.heardAt) / memoryUs);
+            return s.bad * fade(s.heardAt, now);
         }
 
         /** Unheard nodes count as average, or a round at the start; old verdicts fade to the average. */
         double latency(Seen s, double average, long now) {
             return s.smoothedUs == 0 ? average
-                    : average + (s.smoothedUs - average) * Math.exp(-(double) (now - s.heardAt) / memoryUs);
+                    : average + (s.smoothedUs - average) * fade(s.heardAt, now);
         }
 
         double average(Iterable<Seen> nodes, long roundUs) {
@@ -742,7 +749,7 @@
         }
 
         double doneNow(Seen s, long now) {
-            return s.done * Math.exp(-(double) (now - s.doneAt) / memoryUs);
+            return s.done * fade(s.doneAt, now);
         }
 
         /** Parts a microsecond that this router has had from the node of late. */
--- a/src/main/java/tinlink/decision/PartCall.java
+++ b/src/main/java/tinlink/decision/PartCall.java
@@ -19,5 +19,4 @@
     public int callsBefore;
     public boolean cancelled;
     public boolean seenSilent;
-    public boolean seenLate;
 }
