Keep holders by cell and the average latency up as inputs come; same decisions

Cause: every part placed or admitted scanned the whole fleet twice, once for its holders and once for the mean latency. Now the cost of a part goes with its holders. The cold guard still scans, for nodes just started only.

--- a/src/main/java/tinlink/benchlink/Instance.java
+++ b/src/main/java/tinlink/benchlink/Instance.java
@@ -49,7 +49,7 @@
                 new FastestValid.Rounds(f.micros("stepMs", 1000), f.whole("limits.tryLimit", 1),
                         f.flag("limits.secondCopies"), f.flag("limits.cancel")),
                 new FastestValid.Replicas(f.whole("familyInfo.sets", 1), f.whole("familyInfo.reach", 1),
-                        f.whole("familyInfo.bundleMax", 1), f.micros("familyInfo.callMs", 0)),
+                        f.whole("familyInfo.bundleMax", 1), f.micros("familyInfo.callMs", 0), health),
                 health,
                 new FastestValid.ColdGuard(f.whole("groupSize", 1), f.number("rules.startCapacity", 1),
                         f.micros("rules.coldMs", 0), f.number("rules.fallMultiple", 1),
--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -216,7 +216,7 @@
             return false;
         }
         if (!lk.started) {
-            if (admission.refuses(lk, replicas, health, cold, now) && rounds.mayNack(lk)) {
+            if (admission.refuses(lk, replicas, cold, now) && rounds.mayNack(lk)) {
                 end(lk);
                 h.nack(lk, admission.comeBack(lk));
                 return true;
@@ -384,7 +384,7 @@
     private boolean place(List<Part> parts, boolean replay) {
         boolean any = false;
         for (Part p : parts) {
-            Seen s = replicas.pick(p, health, cold, replay, now);
+            Seen s = replicas.pick(p, cold, replay, now);
             if (s == null) {
                 continue;
             }
@@ -412,6 +412,8 @@
     /** What this router knows of a data node; dropped when the list says it is gone and no call is out. */
     static final class Seen {
         final DataNode node;
+        final int cell;
+        boolean forgotten;
         double smoothedUs;
         long heardAt = Long.MIN_VALUE / 2;
         long lastGoodAt = Long.MIN_VALUE / 2;
@@ -430,8 +432,9 @@
         long doneAt;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>();
 
-        Seen(DataNode node) {
+        Seen(DataNode node, int cell) {
             this.node = node;
+            this.cell = cell;
         }
     }
 
@@ -538,9 +541,16 @@
         private final int bundleMax;
         private final long callUs;
         private final Map<DataNode, Seen> known = new LinkedHashMap<>();
+        /** The same nodes by cell: the cost of a part goes with its holders, not with the fleet. */
+        private final List<List<Seen>> byCell = new ArrayList<>();
+        private final Health health;
 
-        public Replicas(int cells, int reach, int bundleMax, long callUs) {
+        public Replicas(int cells, int reach, int bundleMax, long callUs, Health health) {
             this.cells = cells;
+            this.health = health;
+            for (int i = 0; i < cells; i++) {
+                byCell.add(new ArrayList<>());
+            }
             this.reach = reach;
             this.bundleMax = Math.max(1, bundleMax);
             this.callUs = callUs;
@@ -548,37 +558,50 @@
 
         void listed(DataNode n, boolean restarted) {
             Seen s = known.get(n);
-            if (s == null || restarted) {
-                Seen fresh = new Seen(n);
+            if (s == null || restarted || s.cell != Math.floorMod(n.cell, cells)) {
+                Seen fresh = new Seen(n, Math.floorMod(n.cell, cells));
                 fresh.calls = s == null ? 0 : s.calls;
+                forget(s);
                 known.put(n, fresh);
+                byCell.get(fresh.cell).add(fresh);
                 s = fresh;
             }
             forgetIfGone(s);
         }
 
         void forgetIfGone(Seen s) {
-            if (s.node.state == DataNode.State.GONE && s.calls == 0) {
+            if (s.node.state == DataNode.State.GONE && s.calls == 0 && known.get(s.node) == s) {
+                forget(s);
+            }
+        }
+
+        private void forget(Seen s) {
+            if (s != null) {
                 known.remove(s.node);
+                byCell.get(s.cell).remove(s);
+                health.forget(s);
             }
         }
 
         /** Never null: a call may end after its node was forgotten. */
         Seen seen(DataNode n) {
             Seen s = known.get(n);
-            return s == null ? new Seen(n) : s;
+            if (s == null) {
+                s = new Seen(n, 0);
+                s.forgotten = true;
+            }
+            return s;
         }
 
         boolean held(Part p) {
-            return known.values().stream().anyMatch(s -> holds(s, p));
+            return !holders(p).isEmpty();
         }
 
-        boolean heldWithRoom(Part p, Admission admission, Health health, ColdGuard cold, long now) {
+        boolean heldWithRoom(Part p, Admission admission, ColdGuard cold, long now) {
             long roundUs = p.lookup.roundUs;
-            double average = health.average(known.values(), roundUs);
-            for (Seen s : known.values()) {
-                if (holds(s, p) && admission.room(s, health.latency(s, average, now), roundUs)
-                        && cold.admits(s, this, now)) {
+            for (Seen s : holders(p)) {
+                if (admission.room(s, health.latency(s, roundUs, now), roundUs)
+                        && cold.admits(s, known.values(), now)) {
                     return true;
                 }
             }
@@ -586,9 +609,16 @@
         }
 
         /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
-        private boolean holds(Seen s, Part p) {
-            return s.node.state == DataNode.State.READY
-                    && Math.floorMod(s.node.cell - p.shard, cells) < reach;
+        private List<Seen> holders(Part p) {
+            List<Seen> ready = new ArrayList<>();
+            for (int j = 0; j < Math.min(reach, cells); j++) {
+                for (Seen s : byCell.get(Math.floorMod(p.shard + j, cells))) {
+                    if (s.node.state == DataNode.State.READY) {
+                        ready.add(s);
+                    }
+                }
+            }
+            return ready;
         }
 
         private boolean tried(Seen s, Part p) {
@@ -615,15 +645,14 @@
          * The holder with the least smoothed latency times its own outstanding calls plus one; one whose call
          * leaves in this turn costs no call of its own. Nodes that this part has tried go last.
          */
-        Seen pick(Part p, Health health, ColdGuard cold, boolean replay, long now) {
-            double average = health.average(known.values(), p.lookup.roundUs);
-            double callShare = Math.min(0.9, callUs / Math.max(1, average));
+        Seen pick(Part p, ColdGuard cold, boolean replay, long now) {
+            double callShare = Math.min(0.9, callUs / Math.max(1, health.average(p.lookup.roundUs)));
             Seen best = null;
             double least = Double.MAX_VALUE;
             boolean bestTried = true;
-            for (Seen s : known.values()) {
+            for (Seen s : holders(p)) {
                 boolean tried = tried(s, p);
-                if (!holds(s, p) || replay && tried || !cold.admits(s, this, now)) {
+                if (replay && tried || !cold.admits(s, known.values(), now)) {
                     continue;
                 }
                 boolean joins = s.currentAt == now && s.current.size < bundleMax;
@@ -631,7 +660,7 @@
                 // Lookups that can spare a part are the trials by which a node finds its way back.
                 double toll = (p.lookup.index.need < 1 ? 3 : 9) * p.lookup.roundUs;
                 double doubt = health.badness(s, now) * toll;
-                double cost = (health.latency(s, average, now) * (s.calls + 1) + doubt)
+                double cost = (health.latency(s, p.lookup.roundUs, now) * (s.calls + 1) + doubt)
                         / cold.present(s, now) * (joins ? 1 - callShare : 1);
                 if (best == null || (tried != bestTried ? bestTried
                         : cost < least || cost == least && older(s, best))) {
@@ -659,6 +688,9 @@
         private final long memoryUs;
         /** Share of part calls, smoothed, that were still out after a round. */
         private double quiet;
+        /** The smoothed latencies of all nodes heard, kept up as samples come. */
+        private double sumUs;
+        private int heard;
 
         /** @param softUs the longest soft deadline of any index; what was seen fades over a few of these */
         public Health(long softUs) {
@@ -709,7 +741,12 @@
                 return;
             }
             s.usualCalls += SMOOTHING * (c.callsBefore - s.usualCalls);
-            s.smoothedUs = s.smoothedUs == 0 ? us : s.smoothedUs + SMOOTHING * (us - s.smoothedUs);
+            double before = s.smoothedUs;
+            s.smoothedUs = before == 0 ? us : before + SMOOTHING * (us - before);
+            if (!s.forgotten) {
+                heard += before == 0 ? 1 : 0;
+                sumUs += s.smoothedUs - before;
+            }
             s.heardAt = now;
         }
 
@@ -723,21 +760,19 @@
         }
 
         /** Unheard nodes count as average, or a round at the start; old verdicts fade to the average. */
-        double latency(Seen s, double average, long now) {
-            return s.smoothedUs == 0 ? average
-                    : average + (s.smoothedUs - average) * fade(s.heardAt, now);
-        }
-
-        double average(Iterable<Seen> nodes, long roundUs) {
-            double sum = 0;
-            int n = 0;
-            for (Seen s : nodes) {
-                if (s.smoothedUs > 0) {
-                    sum += s.smoothedUs;
-                    n++;
-                }
-            }
-            return n == 0 ? roundUs : sum / n;
+        double latency(Seen s, long roundUs, long now) {
+            return s.smoothedUs == 0 ? average(roundUs)
+                    : average(roundUs) + (s.smoothedUs - average(roundUs)) * fade(s.heardAt, now);
+        }
+
+        double average(long roundUs) {
+            return heard == 0 ? roundUs : sumUs / heard;
+        }
+
+        void forget(Seen s) {
+            heard -= s.smoothedUs > 0 ? 1 : 0;
+            sumUs = heard == 0 ? 0 : sumUs - s.smoothedUs;
+            s.forgotten = true;
         }
 
         /**
@@ -787,7 +822,7 @@
         }
 
         /** Our share of what may be sent within the fall time, judged by what warm like nodes do for us. */
-        boolean admits(Seen s, Replicas replicas, long now) {
+        boolean admits(Seen s, Iterable<Seen> nodes, long now) {
             double present = present(s, now);
             if (present >= 1) {
                 s.coldSends.clear();
@@ -799,7 +834,7 @@
             double rate = 0;
             double latency = Double.MAX_VALUE;
             int like = 0;
-            for (Seen w : replicas.known.values()) {
+            for (Seen w : nodes) {
                 if (w.node.kind == s.node.kind && present(w, now) >= 1 && w.smoothedUs > 0) {
                     rate += health.rate(w, now);
                     latency = Math.min(latency, w.smoothedUs);
@@ -916,10 +951,10 @@
         }
 
         /** Too few of its parts have a holder with room. */
-        boolean refuses(Lookup lk, Replicas replicas, Health health, ColdGuard cold, long now) {
+        boolean refuses(Lookup lk, Replicas replicas, ColdGuard cold, long now) {
             double may = 0;
             for (Part p : lk.parts) {
-                may += replicas.heldWithRoom(p, this, health, cold, now) ? p.weight : 0;
+                may += replicas.heldWithRoom(p, this, cold, now) ? p.weight : 0;
             }
             return may < lk.index.need - SLACK;
         }
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -202,7 +202,7 @@
             FastestValid.Health health = new FastestValid.Health(longestSoft);
             module = new FastestValid(
                     new FastestValid.Rounds(us("step"), whole("tries"), yes("copies"), yes("cancel")),
-                    new FastestValid.Replicas(whole("cells"), whole("reach"), whole("bundle"), us("call")),
+                    new FastestValid.Replicas(whole("cells"), whole("reach"), whole("bundle"), us("call"), health),
                     health,
                     new FastestValid.ColdGuard(whole("group"), 0.2, 10_000_000, 2, 2_000_000, health),
                     new FastestValid.Budget(us("lookback"), whole("free"), num("ratio"), 100),
