Cold guard: a share under one whole call goes by chance from the seed

Now a share under one call is played for in each fall time, counted from the node's start, so the sum over all routers stays at the share; where nothing like it is known the mean latency stands in. The figures of like nodes are taken anew once a fall time, not for each part.

Also catches: fleets that restart whole, routers with no history. May hurt where few routers send all the traffic.

--- a/src/main/java/tinlink/benchlink/Instance.java
+++ b/src/main/java/tinlink/benchlink/Instance.java
@@ -51,7 +51,7 @@
                 new FastestValid.Replicas(f.whole("familyInfo.sets", 1), f.whole("familyInfo.reach", 1),
                         f.whole("familyInfo.bundleMax", 1), f.micros("familyInfo.callMs", 0), health),
                 health,
-                new FastestValid.ColdGuard(f.whole("groupSize", 1), f.number("rules.startCapacity", 1),
+                new FastestValid.ColdGuard(seed, f.whole("groupSize", 1), f.number("rules.startCapacity", 1),
                         f.micros("rules.coldMs", 0), f.number("rules.fallMultiple", 1),
                         f.micros("rules.fallMs", 0), health),
                 new FastestValid.Budget(f.micros("rules.lookBackMs", 0), f.number("rules.minExtra", 0),
--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -431,6 +431,9 @@
         double done;
         long doneAt;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>();
+        long coldTurn = -1;
+        double coldChance;
+        double likeRate;
 
         Seen(DataNode node, int cell) {
             this.node = node;
@@ -801,9 +804,11 @@
         private final double fallMultiple;
         private final long fallUs;
         private final Health health;
+        private final SplittableRandom random;
 
-        public ColdGuard(int groupSize, double startShare, long coldUs, double fallMultiple, long fallUs,
-                         Health health) {
+        public ColdGuard(long seed, int groupSize, double startShare, long coldUs, double fallMultiple,
+                         long fallUs, Health health) {
+            random = new SplittableRandom(seed);
             this.groupSize = Math.max(1, groupSize);
             this.startShare = startShare;
             this.coldUs = coldUs;
@@ -821,7 +826,11 @@
             return Math.max(0.01, startShare + (1 - startShare) * warmed);
         }
 
-        /** Our share of what may be sent within the fall time, judged by what warm like nodes do for us. */
+        /**
+         * Our share of what may be sent within the fall time, judged by what warm like nodes do for us. Danger:
+         * one part call each adds up over many routers. Where the share is no whole call, chance from the seed
+         * says within which of the fall times, counted from the node's start, this router may make one.
+         */
         boolean admits(Seen s, Iterable<Seen> nodes, long now) {
             double present = present(s, now);
             if (present >= 1) {
@@ -831,6 +840,16 @@
             while (!s.coldSends.isEmpty() && s.coldSends.peek() <= now - fallUs) {
                 s.coldSends.poll();
             }
+            if (s.coldTurn != (now - s.node.startedAt) / fallUs) {
+                s.coldTurn = (now - s.node.startedAt) / fallUs;
+                s.coldChance = random.nextDouble();
+                s.likeRate = likeRate(s, nodes, now);
+            }
+            return s.coldSends.size() + s.coldChance < 0.8 * fallMultiple * present * fallUs * s.likeRate;
+        }
+
+        /** Parts a microsecond that this router may count on a warm node of its kind to do for it. */
+        private double likeRate(Seen s, Iterable<Seen> nodes, long now) {
             double rate = 0;
             double latency = Double.MAX_VALUE;
             int like = 0;
@@ -841,9 +860,8 @@
                     like++;
                 }
             }
-            double allowed = like == 0 ? 0 : fallMultiple * present * fallUs
-                    * Math.max(rate / like, 1 / (latency * groupSize));
-            return s.coldSends.size() < Math.max(1, (int) (0.8 * allowed));
+            return like == 0 ? 1 / (health.average(health.memoryUs / 12) * groupSize)
+                    : Math.max(rate / like, 1 / (latency * groupSize));
         }
 
         void sent(Seen s, long now) {
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -204,7 +204,7 @@
                     new FastestValid.Rounds(us("step"), whole("tries"), yes("copies"), yes("cancel")),
                     new FastestValid.Replicas(whole("cells"), whole("reach"), whole("bundle"), us("call"), health),
                     health,
-                    new FastestValid.ColdGuard(whole("group"), 0.2, 10_000_000, 2, 2_000_000, health),
+                    new FastestValid.ColdGuard(7, whole("group"), 0.2, 10_000_000, 2, 2_000_000, health),
                     new FastestValid.Budget(us("lookback"), whole("free"), num("ratio"), 100),
                     new FastestValid.Admission(us("comeback")),
                     new FastestValid.ListFollowing(7, yes("asks"), us("mustask")));
