Lookups that kill nodes: end at two lost nodes, one part first while nodes die

Change: a lookup that has lost connections to two nodes and satisfied no part ends at once; a lost part waits until another part of its lookup is in; while over one and a half nodes (fading) were found down of late, one part goes first and the others leave together when it is answered or after a round. All k parts at once stays the rule otherwise.

Also catches: mass crashes, where a whole lookup no longer dies with its nodes. May hurt where well nodes reset many connections: lookups end early, and where nodes die for another reason each lookup waits one part longer.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -93,6 +93,10 @@
         if (p.lookup.ended) {
             return;
         }
+        if (how == Outcome.CONNECTION_LOST) {
+            p.lookup.suspect |= p.lookup.lostAt != null && p.lookup.lostAt != c.node;
+            p.lookup.lostAt = c.node;
+        }
         if (how == Outcome.SATISFIED && !p.satisfied) {
             p.satisfied = true;
             cancelOut(p);
@@ -108,9 +112,7 @@
     @Override
     public void nodes(News news) {
         list.news(news, now);
-        for (Lookup lk : open) {
-            touch(lk);
-        }
+        open.forEach(this::touch);
     }
 
     @Override
@@ -154,9 +156,7 @@
     private void end(Lookup lk) {
         lk.ended = true;
         open.remove(lk);
-        for (Part p : lk.parts) {
-            cancelOut(p);
-        }
+        lk.parts.forEach(this::cancelOut);
     }
 
     // ---- Decisions: one a call. ----
@@ -208,7 +208,9 @@
         if (allThere && in >= needed(lk) - SLACK) {
             return answer(lk, h, !lk.secondStep || lk.firstWhole);
         }
-        if (now >= lk.endAt || (allThere && hopeless(lk, in))) {
+        // Danger: lookups that bring down every node that begins a part of theirs. One that has lost two nodes
+        // and satisfied no part is not sent again; may hurt where well nodes lose many connections.
+        if (now >= lk.endAt || (allThere && (lk.suspect && in == 0 || hopeless(lk, in)))) {
             return giveUp(lk, h, in);
         }
         lk.lookAt = lk.endAt;
@@ -223,28 +225,27 @@
             }
             lk.started = true;
             lk.startedAt = now;
-            // All k parts leave together.
-            place(lk.parts, false);
+            // All k parts leave together; while nodes die around us one goes first, to see whether it kills.
+            lk.scouting = lk.parts.size() > 1 && health.nodesDie(now);
+            if (lk.scouting) {
+                lk.scouting = lk.parts.stream().anyMatch(p -> place(List.of(p), false));
+            } else {
+                place(lk.parts, false);
+            }
             lk.lookAt = Math.min(lk.endAt, now + lk.roundUs);
             return !outbox.isEmpty() || step(lk, h);
         }
+        if (lk.scouting && (in > 0 || now >= lk.startedAt + lk.roundUs)) {
+            lk.scouting = false;
+            lk.startedAt = now;
+            place(lk.parts.stream().filter(p -> p.calls.isEmpty()).toList(), false);
+        }
         if (!lk.replayed && now >= lk.startedAt + lk.roundUs) {
             lk.replayed = true;
             replay(lk, in);
         }
         sendAgain(lk, in);
-        long lateAt = lk.startedAt + 3 * lk.roundUs / 2;
-        if (!lk.lateSeen && now >= lateAt) {
-            lk.lateSeen = true;
-            for (Part p : lk.parts) {
-                for (PartCall c : p.calls) {
-                    if (c.outcome == null && 2 * (now - c.sentAt) >= 3 * lk.roundUs) {
-                        health.late(replicas.seen(c.node), c, now);
-                    }
-                }
-            }
-        }
-        long next = !lk.replayed ? lk.startedAt + lk.roundUs : lk.lateSeen ? lk.endAt : lateAt;
+        long next = lk.replayed ? lk.endAt : lk.startedAt + lk.roundUs;
         lk.lookAt = Math.min(lk.lookAt, next);
         return !outbox.isEmpty() || !surplus.isEmpty();
     }
@@ -276,11 +277,8 @@
 
     private boolean answer(Lookup lk, Host h, boolean whole) {
         if (lk.index.secondStep > 0 && !lk.secondStep) {
-            int satisfied = 0;
-            for (Part p : lk.parts) {
-                satisfied += p.satisfied ? 1 : 0;
-                cancelOut(p);
-            }
+            int satisfied = (int) lk.parts.stream().filter(p -> p.satisfied).count();
+            lk.parts.forEach(this::cancelOut);
             lk.secondStep = true;
             lk.firstWhole = whole;
             lk.announced = Math.min(lk.index.secondStep, satisfied);
@@ -335,14 +333,14 @@
             if (missing <= 0) {
                 break;
             }
-            if (rounds.mayCall(p, now) && budget.mayReplay(now)) {
+            if (rounds.mayCall(p, now) && budget.may(true, now)) {
                 if (place(List.of(p), true)) {
                     missing -= p.weight;
                 }
             } else if (rounds.mayGiveUpSilent(p) && lastNode(p).lastGoodAt < p.calls.get(0).sentAt
-                    && budget.mayReplay(now)) {
+                    && budget.may(true, now)) {
                 // No second copies here: a node that has answered nothing since loses the part (departure).
-                budget.replayed(now);
+                budget.spent(true, now);
                 p.resendAsReplay = true;
                 cancelOut(p);
                 missing -= p.weight;
@@ -365,10 +363,13 @@
             may += !p.satisfied && p.out > 0 ? p.weight : 0;
         }
         for (Part p : lk.parts) {
-            if (p.satisfied || p.out > 0 || !rounds.mayCall(p, now) || may >= needed(lk) - SLACK) {
+            // What has lost its node waits for a sign that the lookup is not what killed it.
+            boolean wait = p.calls.isEmpty() ? lk.scouting
+                    : in == 0 && may > 0 && lastCall(p).outcome == Outcome.CONNECTION_LOST;
+            if (p.satisfied || p.out > 0 || wait || !rounds.mayCall(p, now) || may >= needed(lk) - SLACK) {
                 continue;
             }
-            if (now >= p.sendAt && (p.calls.isEmpty() || p.resendAsReplay || budget.mayResend(now))
+            if (now >= p.sendAt && (p.calls.isEmpty() || p.resendAsReplay || budget.may(false, now))
                     && place(List.of(p), false)) {
                 may += p.weight;
                 p.resendAsReplay = false;
@@ -389,10 +390,8 @@
                 continue;
             }
             any = true;
-            if (replay) {
-                budget.replayed(now);
-            } else if (!p.calls.isEmpty() && !p.resendAsReplay) {
-                budget.resent(now);
+            if (replay || !p.calls.isEmpty() && !p.resendAsReplay) {
+                budget.spent(replay, now);
             }
             cold.sent(s, now);
             PartCall c = new PartCall();
@@ -414,6 +413,8 @@
         final DataNode node;
         final int cell;
         boolean forgotten;
+        /** Its last connection failed. */
+        boolean down;
         double smoothedUs;
         long heardAt = Long.MIN_VALUE / 2;
         long lastGoodAt = Long.MIN_VALUE / 2;
@@ -473,7 +474,6 @@
             lk.lookAt = now;
             lk.started = false;
             lk.replayed = false;
-            lk.lateSeen = false;
         }
 
         /**
@@ -506,7 +506,7 @@
                 return true;
             }
             for (PartCall c : p.calls) {
-                if (c.outcome == null || !c.outcome.neverRan) {
+                if (!neverRan(c)) {
                     // Sent one step of the clock later, it still has to fall within the window.
                     return p.lookup.index.effect == Index.Effect.FINGERPRINTED
                             && now + stepUs <= c.sentAt + p.lookup.index.windowUs;
@@ -522,18 +522,12 @@
 
         /** A nack says that trying again is harmless: not so once a part of the others may have run. */
         boolean mayNack(Lookup lk) {
-            if (lk.secondStep) {
-                return false;
-            }
-            for (Part p : lk.parts) {
-                for (PartCall c : p.calls) {
-                    if (lk.index.effect != Index.Effect.IDEMPOTENT
-                            && (c.outcome == null || !c.outcome.neverRan)) {
-                        return false;
-                    }
-                }
-            }
-            return true;
+            return !lk.secondStep && (lk.index.effect == Index.Effect.IDEMPOTENT
+                    || lk.parts.stream().allMatch(p -> p.calls.stream().allMatch(Rounds::neverRan)));
+        }
+
+        private static boolean neverRan(PartCall c) {
+            return c.outcome != null && c.outcome.neverRan;
         }
     }
 
@@ -602,13 +596,8 @@
 
         boolean heldWithRoom(Part p, Admission admission, ColdGuard cold, long now) {
             long roundUs = p.lookup.roundUs;
-            for (Seen s : holders(p)) {
-                if (admission.room(s, health.latency(s, roundUs, now), roundUs)
-                        && cold.admits(s, known.values(), now)) {
-                    return true;
-                }
-            }
-            return false;
+            return holders(p).stream().anyMatch(s -> cold.admits(s, known.values(), now)
+                    && admission.room(s, health.latency(s, roundUs, now), roundUs));
         }
 
         /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
@@ -625,12 +614,7 @@
         }
 
         private boolean tried(Seen s, Part p) {
-            for (PartCall c : p.calls) {
-                if (c.node == s.node) {
-                    return true;
-                }
-            }
-            return false;
+            return p.calls.stream().anyMatch(c -> c.node == s.node);
         }
 
         PartCall.Shared share(Seen s, long now) {
@@ -688,12 +672,16 @@
         private static final double BAD_STEP = 0.35;
         private static final double QUIET_STEP = 0.05;
         private static final double SHARED = 0.3;
+        private static final double DYING = 1.5;
         private final long memoryUs;
         /** Share of part calls, smoothed, that were still out after a round. */
         private double quiet;
         /** The smoothed latencies of all nodes heard, kept up as samples come. */
         private double sumUs;
         private int heard;
+        /** Nodes that were found down of late, fading. */
+        private double dying;
+        private long diedAt;
 
         /** @param softUs the longest soft deadline of any index; what was seen fades over a few of these */
         public Health(long softUs) {
@@ -706,6 +694,7 @@
                 case SATISFIED -> {
                     sample(s, c, tookUs, now);
                     s.lastGoodAt = now;
+                    s.down = false;
                     s.newestAnswered = Math.max(s.newestAnswered, c.sentAt);
                     quiet -= c.seenSilent ? 0 : QUIET_STEP * quiet;
                     s.bad -= BAD_STEP * s.bad;
@@ -714,7 +703,15 @@
                 }
                 // A full node ends calls fast; without this it would look like the fastest one.
                 case TURNED_AWAY -> sample(s, c, Math.max(2 * roundUs, s.smoothedUs), now);
-                case ERROR, CONNECTION_LOST, NO_CONNECTION -> bad(s, now);
+                case ERROR -> bad(s, now);
+                case CONNECTION_LOST, NO_CONNECTION -> {
+                    bad(s, now);
+                    if (!s.down) {
+                        s.down = true;
+                        dying = dying * fade(diedAt, now) + 1;
+                        diedAt = now;
+                    }
+                }
                 case NO_ANSWER -> sample(s, c, tookUs, now);
                 default -> {
                 }
@@ -723,17 +720,13 @@
 
         /** Danger: a node that takes parts and answers none costs every lookup a round. */
         void silent(Seen s, PartCall c, long roundUs, long now) {
-            late(s, c, now);
+            sample(s, c, Math.max(now - c.sentAt, s.smoothedUs), now);
             quiet += QUIET_STEP * (1 - quiet);
             if (s.lastGoodAt < c.sentAt) {
                 bad(s, now);
             }
         }
 
-        void late(Seen s, PartCall c, long now) {
-            sample(s, c, Math.max(now - c.sentAt, s.smoothedUs), now);
-        }
-
         private void bad(Seen s, long now) {
             s.bad = badness(s, now) + BAD_STEP * (1 - badness(s, now));
             s.heardAt = now;
@@ -786,6 +779,10 @@
             return quiet > SHARED;
         }
 
+        boolean nodesDie(long now) {
+            return dying * fade(diedAt, now) >= DYING;
+        }
+
         double doneNow(Seen s, long now) {
             return s.done * fade(s.doneAt, now);
         }
@@ -895,48 +892,28 @@
         }
 
         void took(long now, boolean part) {
-            if (part) {
-                replays = Math.min(cap, replays + REPLAYS);
-                resends = Math.min(cap, resends + RESENDS);
-            }
+            replays = Math.min(cap, replays + (part ? REPLAYS : 0));
+            resends = Math.min(cap, resends + (part ? RESENDS : 0));
             if (lookBackUs > 0) {
                 taken.add(now);
             }
         }
 
         /** Danger: the stated budget, which holds in any window: what is taken now may soon leave it. */
-        private boolean allowed(long now) {
-            if (lookBackUs <= 0) {
-                return true;
-            }
+        boolean may(boolean replay, long now) {
             while (!taken.isEmpty() && taken.peek() <= now - lookBackUs) {
                 taken.poll();
             }
             while (!further.isEmpty() && further.peek() < now - lookBackUs) {
                 further.poll();
             }
-            return further.size() + 1 <= free + share * taken.size();
+            return (replay ? replays : resends) >= 1
+                    && (lookBackUs <= 0 || further.size() + 1 <= free + share * taken.size());
         }
 
-        boolean mayReplay(long now) {
-            return replays >= 1 && allowed(now);
-        }
-
-        boolean mayResend(long now) {
-            return resends >= 1 && allowed(now);
-        }
-
-        void replayed(long now) {
-            replays--;
-            further(now);
-        }
-
-        void resent(long now) {
-            resends--;
-            further(now);
-        }
-
-        private void further(long now) {
+        void spent(boolean replay, long now) {
+            replays -= replay ? 1 : 0;
+            resends -= replay ? 0 : 1;
             if (lookBackUs > 0) {
                 further.add(now);
             }
@@ -1014,9 +991,7 @@
 
         boolean due(long now) {
             boolean due = now >= nextAt;
-            if (due) {
-                nextAt = NEVER;
-            }
+            nextAt = due ? NEVER : nextAt;
             return due;
         }
     }
--- a/src/main/java/tinlink/decision/Lookup.java
+++ b/src/main/java/tinlink/decision/Lookup.java
@@ -24,9 +24,12 @@
     public long startedAt;
     public boolean started;
     public boolean replayed;
-    /** Its part calls that were out after one and a half rounds have been judged. */
-    public boolean lateSeen;
     public boolean touched;
+    /** One part has gone first, the others wait for it. */
+    public boolean scouting;
+    /** The node that it last lost a connection to, and whether it has lost two. */
+    public DataNode lostAt;
+    public boolean suspect;
     public boolean secondStep;
     public boolean firstWhole = true;
 }
