Judge shared trouble by whole lookups, so large ones replay their silent parts

Cause: the share of silent parts was smoothed call by call over about fourteen calls. Parts that answer come first and the silent ones of a lookup are judged all at once at the end of its round, so eight silent parts in a lookup of fifty looked like trouble shared by all nodes, and the replays stopped. That does not show in the small: lookups there have four to nine parts.

Change: a lookup's parts move the share together, when its round or the lookup ends.

Also catches: any judgement skewed by the order in which answers and silence come. May hurt where many nodes hang.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -154,6 +154,9 @@
     }
 
     private void end(Lookup lk) {
+        if (lk.started && !lk.replayed) {
+            health.round(lk.parts.size(), 0);
+        }
         lk.ended = true;
         open.remove(lk);
         lk.parts.forEach(this::cancelOut);
@@ -313,15 +316,15 @@
         List<Part> silent = new ArrayList<>();
         for (Part p : lk.parts) {
             for (PartCall c : p.calls) {
-                if (c.outcome == null && !c.seenSilent) {
-                    c.seenSilent = true;
-                    health.silent(replicas.seen(c.node), c, lk.roundUs, now);
+                if (c.outcome == null) {
+                    health.silent(replicas.seen(c.node), c, now);
                 }
             }
             if (!p.satisfied && p.out > 0) {
                 silent.add(p);
             }
         }
+        health.round(lk.parts.size(), silent.size());
         // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that
         // later ones have overtaken at its node is stuck, not slow.
         if (health.sharedTrouble()) {
@@ -674,7 +677,7 @@
         private static final double SHARED = 0.3;
         private static final double DYING = 1.5;
         private final long memoryUs;
-        /** Share of part calls, smoothed, that were still out after a round. */
+        /** Share of parts, smoothed, that were still out after a round. */
         private double quiet;
         /** The smoothed latencies of all nodes heard, kept up as samples come. */
         private double sumUs;
@@ -696,7 +699,6 @@
                     s.lastGoodAt = now;
                     s.down = false;
                     s.newestAnswered = Math.max(s.newestAnswered, c.sentAt);
-                    quiet -= c.seenSilent ? 0 : QUIET_STEP * quiet;
                     s.bad -= BAD_STEP * s.bad;
                     s.done = doneNow(s, now) + 1;
                     s.doneAt = now;
@@ -719,14 +721,18 @@
         }
 
         /** Danger: a node that takes parts and answers none costs every lookup a round. */
-        void silent(Seen s, PartCall c, long roundUs, long now) {
+        void silent(Seen s, PartCall c, long now) {
             sample(s, c, Math.max(now - c.sentAt, s.smoothedUs), now);
-            quiet += QUIET_STEP * (1 - quiet);
             if (s.lastGoodAt < c.sentAt) {
                 bad(s, now);
             }
         }
 
+        /** A lookup's parts count together: one by one its silent ones, judged last, would pass for all. */
+        void round(int parts, int silent) {
+            quiet += (1 - Math.pow(1 - QUIET_STEP, parts)) * ((double) silent / parts - quiet);
+        }
+
         private void bad(Seen s, long now) {
             s.bad = badness(s, now) + BAD_STEP * (1 - badness(s, now));
             s.heardAt = now;
--- a/src/main/java/tinlink/decision/PartCall.java
+++ b/src/main/java/tinlink/decision/PartCall.java
@@ -18,5 +18,4 @@
     /** Calls that were out at its node when it was sent. */
     public int callsBefore;
     public boolean cancelled;
-    public boolean seenSilent;
 }
