Holders in another zone count a little slower where crossing zones has a price

No price, no change. Small clauses are shorter too; no other decision changed.

May hurt where traffic leans to one zone: its nodes are filled first, and the price bounds by how much.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -125,11 +125,7 @@
         if (now >= armed) {
             armed = NEVER;
         }
-        for (Lookup lk : open) {
-            if (lk.lookAt <= now) {
-                touch(lk);
-            }
-        }
+        open.stream().filter(lk -> lk.lookAt <= now).forEach(this::touch);
     }
 
     @Override
@@ -146,11 +142,7 @@
     }
 
     private void cancelOut(Part p) {
-        for (PartCall c : p.calls) {
-            if (c.outcome == null && !c.cancelled) {
-                surplus.add(c);
-            }
-        }
+        p.calls.stream().filter(c -> c.outcome == null && !c.cancelled).forEach(surplus::add);
     }
 
     private void end(Lookup lk) {
@@ -196,10 +188,7 @@
             lk.touched = false;
             touched.poll();
         }
-        long next = list.nextAt;
-        for (Lookup lk : open) {
-            next = Math.min(next, lk.lookAt);
-        }
+        long next = open.stream().mapToLong(lk -> lk.lookAt).reduce(list.nextAt, Math::min);
         if (next < armed) {
             armed = next;
             h.wake(next);
@@ -259,11 +248,7 @@
     }
 
     private double weightIn(Lookup lk) {
-        double in = 0;
-        for (Part p : lk.parts) {
-            in += p.satisfied ? p.weight : 0;
-        }
-        return in;
+        return lk.parts.stream().mapToDouble(p -> p.satisfied ? p.weight : 0).sum();
     }
 
     private double needed(Lookup lk) {
@@ -363,10 +348,7 @@
 
     /** Parts that were never sent, or whose part calls all ended without an answer. */
     private void sendAgain(Lookup lk, double in) {
-        double may = in;
-        for (Part p : lk.parts) {
-            may += !p.satisfied && p.out > 0 ? p.weight : 0;
-        }
+        double may = in + lk.parts.stream().mapToDouble(p -> !p.satisfied && p.out > 0 ? p.weight : 0).sum();
         for (Part p : lk.parts) {
             // What has lost its node waits for a sign that the lookup is not what killed it.
             boolean wait = p.calls.isEmpty() ? lk.scouting
@@ -515,17 +497,10 @@
             if (p.calls.size() >= tryLimit || p.out > 0 && !secondCopies) {
                 return false;
             }
-            if (p.lookup.index.effect == Index.Effect.IDEMPOTENT) {
-                return true;
-            }
-            for (PartCall c : p.calls) {
-                if (!neverRan(c)) {
-                    // Sent one step of the clock later, it still has to fall within the window.
-                    return p.lookup.index.effect == Index.Effect.FINGERPRINTED
-                            && now + stepUs <= c.sentAt + p.lookup.index.windowUs;
-                }
-            }
-            return true;
+            // Sent one step of the clock later, it still has to fall within the window.
+            Index x = p.lookup.index;
+            return x.effect == Index.Effect.IDEMPOTENT || p.calls.stream().allMatch(c -> neverRan(c)
+                    || x.effect == Index.Effect.FINGERPRINTED && now + stepUs <= c.sentAt + x.windowUs);
         }
 
         boolean mayGiveUpSilent(Part p) {
@@ -546,16 +521,23 @@
 
     /** The companion: which replica serves a part. */
     public static final class Replicas {
+        private static final double FAR = 10;
         private final int cells;
         private final int reach;
         private final int bundleMax;
         private final long callUs;
+        private final int zone;
+        /** What a node in another zone counts slower, where crossing has a price. */
+        private final double far;
         private final Map<DataNode, Seen> known = new LinkedHashMap<>();
         /** The same nodes by cell: the cost of a part goes with its holders, not with the fleet. */
         private final List<List<Seen>> byCell = new ArrayList<>();
         private final Health health;
 
-        public Replicas(int cells, int reach, int bundleMax, long callUs, Health health) {
+        public Replicas(int cells, int reach, int bundleMax, long callUs, int zone, double crossPrice,
+                        Health health) {
+            this.zone = zone;
+            far = 1 + FAR * crossPrice;
             this.cells = cells;
             this.health = health;
             for (int i = 0; i < cells; i++) {
@@ -657,7 +639,9 @@
                 double toll = (p.lookup.index.need < 1 ? 3 : 9) * p.lookup.roundUs;
                 double doubt = health.badness(s, now) * toll;
                 double cost = (health.latency(s, p.lookup.roundUs, now) * (s.calls + 1) + doubt)
-                        / cold.present(s, now) * (joins ? 1 - callShare : 1);
+                        / cold.present(s, now) * (joins ? 1 - callShare : 1)
+                        // Departure: crossing zones has a price, so a near node may be a little slower.
+                        * (s.node.zone == zone ? 1 : far);
                 if (best == null || (tried != bestTried ? bestTried
                         : cost < least || cost == least && older(s, best))) {
                     best = s;
@@ -982,11 +966,8 @@
 
         /** Too few of its parts have a holder with room. */
         boolean refuses(Lookup lk, Replicas replicas, ColdGuard cold, long now) {
-            double may = 0;
-            for (Part p : lk.parts) {
-                may += replicas.heldWithRoom(p, this, cold, now) ? p.weight : 0;
-            }
-            return may < lk.index.need - SLACK;
+            return lk.parts.stream().filter(p -> replicas.heldWithRoom(p, this, cold, now))
+                    .mapToDouble(p -> p.weight).sum() < lk.index.need - SLACK;
         }
 
         long comeBack(Lookup lk) {
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -167,10 +167,11 @@
         Index x = new Index();
         x.softUs = ms(after(w, "soft").get(0));
         x.hardUs = 10 * x.softUs;
-        x.windowUs = after(w, "window").isEmpty() ? 0 : ms(after(w, "window").get(0));
-        x.need = after(w, "need").isEmpty() ? 1 : Double.parseDouble(after(w, "need").get(0));
-        x.floor = after(w, "floor").isEmpty() ? x.need : Double.parseDouble(after(w, "floor").get(0));
-        x.secondStep = after(w, "second").isEmpty() ? 0 : Integer.parseInt(after(w, "second").get(0));
+        after(w, "window").forEach(t -> x.windowUs = ms(t));
+        after(w, "need").forEach(n -> x.need = Double.parseDouble(n));
+        x.floor = x.need;
+        after(w, "floor").forEach(n -> x.floor = Double.parseDouble(n));
+        after(w, "second").forEach(n -> x.secondStep = Integer.parseInt(n));
         x.lateGain = Arrays.asList(w).contains("late") ? 0.3 : 0;
         for (Index.Effect e : Index.Effect.values()) {
             if (Arrays.asList(w).contains(e.name().toLowerCase().replace('_', '-'))) {
@@ -184,12 +185,9 @@
         long id = Long.parseLong(w[1]);
         DataNode n = nodes.computeIfAbsent(id, DataNode::new);
         long startedAt = n.startedAt;
-        if (!after(w, "cell").isEmpty()) {
-            n.cell = Integer.parseInt(after(w, "cell").get(0));
-        }
-        if (!after(w, "started").isEmpty()) {
-            n.startedAt = ms(after(w, "started").get(0));
-        }
+        after(w, "cell").forEach(c -> n.cell = Integer.parseInt(c));
+        after(w, "zone").forEach(z -> n.zone = Integer.parseInt(z));
+        after(w, "started").forEach(t -> n.startedAt = ms(t));
         String last = w[w.length - 1];
         n.state = last.equals("draining") ? DataNode.State.DRAINING
                 : last.equals("gone") ? DataNode.State.GONE : DataNode.State.READY;
@@ -202,7 +200,8 @@
             FastestValid.Health health = new FastestValid.Health(longestSoft);
             module = new FastestValid(
                     new FastestValid.Rounds(us("step"), whole("tries"), yes("copies"), yes("cancel")),
-                    new FastestValid.Replicas(whole("cells"), whole("reach"), whole("bundle"), us("call"), health),
+                    new FastestValid.Replicas(whole("cells"), whole("reach"), whole("bundle"), us("call"),
+                            whole("zone"), num("cross"), health),
                     health,
                     new FastestValid.ColdGuard(7, whole("group"), 0.2, 10_000_000, 2, 2_000_000, health),
                     new FastestValid.Budget(us("lookback"), whole("free"), num("ratio"), 100),
