Cold allowance one and a half times as large

What like nodes have done is what they were asked, not what they could do, so the share of the limit was small.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -814,6 +814,8 @@
 
     /** Danger: a node that has just started is sent more than it can do, falls over and stays down. */
     public static final class ColdGuard {
+        /** Like nodes do what they are asked, which is less than they could. */
+        private static final double ASKED = 1.2;
         private final int groupSize;
         private final double startShare;
         private final long coldUs;
@@ -861,7 +863,7 @@
                 s.coldChance = random.nextDouble();
                 s.likeRate = likeRate(s, nodes, now);
             }
-            return s.coldSends.size() + s.coldChance < 0.8 * fallMultiple * present * fallUs * s.likeRate;
+            return s.coldSends.size() + s.coldChance < ASKED * fallMultiple * present * fallUs * s.likeRate;
         }
 
         /** Parts a microsecond that this router may count on a warm node of its kind to do for it. */
