A node with no call out has room by chance, the less the slower it looks

Cause: a node without a call of ours out always had room, so that the judgement is renewed.

Change: one draw from the seed for each lookup scales what is expected of nodes with no call out.

Where clients are told no time to come back the limit is two rounds and hardly reached. May hurt where one slow answer is all that a router knows of a node.

--- a/src/main/java/tinlink/benchlink/Instance.java
+++ b/src/main/java/tinlink/benchlink/Instance.java
@@ -57,7 +57,7 @@
                         f.micros("rules.fallMs", 0), health),
                 new FastestValid.Budget(f.micros("rules.lookBackMs", 0), f.number("rules.minExtra", 0),
                         f.number("rules.resendRatio", 0), openCap),
-                new FastestValid.Admission(
+                new FastestValid.Admission(seed,
                         f.flag("limits.retryAfter") ? f.micros("limits.maxRetryAfterMs", 0) : 0),
                 new FastestValid.ListFollowing(seed, f.text("discovery", "pushed").equals("on_request"),
                         f.micros("rules.mustAskInMs", 1_000_000)));
--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -943,31 +943,37 @@
 
     /**
      * Which lookups to nack at the door: those with too few parts that some holder can be expected to answer
-     * within a round or two, judged by how long it took of late and how many calls were out then. A node
-     * with no call out always has room, so the judgement is renewed. Danger: under overload every lookup
-     * sends all its parts, all end too late, clients ask again, and the service stays down after its cause
-     * has gone. Catches bursts, retry storms, lost capacity, slowness shared by all, and shards too
-     * popular for their holders; may hurt where a node's calls are too few to tell a slow call from a
-     * slow node.
+     * within a round or two, judged by how long it took of late and how many calls were out then. Of nodes
+     * with no call out that look slow, a lookup still takes some by chance, fewer the slower they look: a
+     * router of many seldom has a call out there, and so the judgement is renewed. Danger: under overload
+     * all parts are sent, all end too late, clients ask again, and the service stays down after its cause
+     * has gone. Catches bursts, retry storms, lost capacity, slowness shared by all, and shards too popular
+     * for their holders; may hurt where calls are too few to tell a slow call from a slow node.
      */
     public static final class Admission {
         /** A nack costs little where clients are told when to come back, and the lookup's gain where not. */
         private static final double ROUNDS_TOLD = 1.2;
         private static final double ROUNDS_UNTOLD = 2;
         private final long maxComeBackUs;
+        private final SplittableRandom random;
+        /** Of the lookup at the door, one for all its parts. */
+        private double luck;
 
         /** @param maxComeBackUs 0 where clients are told no time */
-        public Admission(long maxComeBackUs) {
+        public Admission(long seed, long maxComeBackUs) {
+            random = new SplittableRandom(seed);
             this.maxComeBackUs = maxComeBackUs;
         }
 
         boolean room(Seen s, double latency, long roundUs) {
-            return s.calls == 0 || s.smoothedUs == 0 || latency * (s.calls + 1) / (s.usualCalls + 1)
+            double expected = latency * (s.calls + 1) / (s.usualCalls + 1);
+            return s.smoothedUs == 0 || expected * (s.calls == 0 ? luck : 1)
                     <= (maxComeBackUs > 0 ? ROUNDS_TOLD : ROUNDS_UNTOLD) * roundUs;
         }
 
         /** Too few of its parts have a holder with room. */
         boolean refuses(Lookup lk, Replicas replicas, ColdGuard cold, long now) {
+            luck = random.nextDouble();
             return lk.parts.stream().filter(p -> replicas.heldWithRoom(p, this, cold, now))
                     .mapToDouble(p -> p.weight).sum() < lk.index.need - SLACK;
         }
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -205,7 +205,7 @@
                     health,
                     new FastestValid.ColdGuard(7, whole("group"), 0.2, 10_000_000, 2, 2_000_000, health),
                     new FastestValid.Budget(us("lookback"), whole("free"), num("ratio"), 100),
-                    new FastestValid.Admission(us("comeback")),
+                    new FastestValid.Admission(7, us("comeback")),
                     new FastestValid.ListFollowing(7, yes("asks"), us("mustask")));
             module.clock(now);
         }
