Lookups with less than a full round to live give no verdict on silent nodes

Change: silence counts for or against a node, and for the share that stops replays, only where the lookup's time left room for a full round of its index. Its own replays stay.

Also catches: repeats with little time left. May hurt where all clients give less than a round: no node is ever doubted for silence then.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -146,7 +146,7 @@
     }
 
     private void end(Lookup lk) {
-        if (lk.started && !lk.replayed) {
+        if (lk.started && !lk.replayed && lk.judges) {
             health.round(lk.parts.size(), 0);
         }
         lk.ended = true;
@@ -305,13 +305,15 @@
     private void replay(Lookup lk, double in) {
         List<Part> silent = new ArrayList<>();
         for (Part p : lk.parts) {
-            p.calls.stream().filter(c -> c.outcome == null)
+            p.calls.stream().filter(c -> c.outcome == null && lk.judges)
                     .forEach(c -> health.silent(replicas.seen(c.node), c, now));
             if (!p.satisfied && p.out > 0) {
                 silent.add(p);
             }
         }
-        health.round(lk.parts.size(), silent.size());
+        if (lk.judges) {
+            health.round(lk.parts.size(), silent.size());
+        }
         // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that
         // later ones have overtaken at its node is stuck, not slow.
         if (health.sharedTrouble()) {
@@ -461,6 +463,8 @@
         void begin(Lookup lk, long now) {
             // Two steps of the clock early: a timer fires up to one late, and the client's end is final.
             long last = Math.max(now, lk.leavesAt - 2 * stepUs);
+            // Danger: one tenant's clients that give short times would make well nodes look silent to all.
+            lk.judges = last - now >= patience(lk.index.softUs);
             lk.roundUs = Math.max(stepUs, Math.min(patience(lk.index.softUs), last - now) / 3);
             // Departure: where all parts are needed and a late answer still has gain, an abort at the aim
             // would only make the client ask for all of it again.
--- a/src/main/java/tinlink/decision/Lookup.java
+++ b/src/main/java/tinlink/decision/Lookup.java
@@ -20,6 +20,8 @@
     // The rounds of the step in hand.
     public long roundUs;
     public long endAt;
+    /** Its round is as long as its index's, so silence means something. */
+    public boolean judges;
     public long lookAt;
     public long startedAt;
     public boolean started;
