Repeats go one part first already at a quarter of the evidence that nodes die

Cause: clients repeat the lookups that kill nodes, and the repeat mostly comes to a router that has met one dead node or none; marked repeats are the likelier killers, and a first part costs them one part's time.

May hurt where clients that don't mark repeats kill, which it can't see, or where many repeat after something else: they wait one part longer while nodes are down.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -223,7 +223,7 @@
             lk.started = true;
             lk.startedAt = now;
             // All k parts leave together; while nodes die around us one goes first, to see whether it kills.
-            lk.scouting = lk.parts.size() > 1 && health.nodesDie(now);
+            lk.scouting = lk.parts.size() > 1 && health.nodesDie(lk.repeat, now);
             if (lk.scouting) {
                 lk.scouting = lk.parts.stream().anyMatch(p -> place(List.of(p), false));
             } else {
@@ -802,8 +802,9 @@
             return quiet > SHARED;
         }
 
-        boolean nodesDie(long now) {
-            return dying * fade(diedAt, now) >= DYING;
+        /** A client's repeat is the likelier one to have killed them. */
+        boolean nodesDie(boolean repeat, long now) {
+            return dying * fade(diedAt, now) >= (repeat ? DYING / 4 : DYING);
         }
 
         double doneNow(Seen s, long now) {
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -87,6 +87,7 @@
                 Lookup lk = new Lookup();
                 lk.index = indexes.get(w[2]);
                 lk.leavesAt = now + ms(w[4]);
+                lk.repeat = w[w.length - 1].equals("repeat");
                 lookups.put(w[1], lk);
                 names.put(lk, w[1]);
                 lk.announced = shards(w).size();
