Judge silence apart from replays; one sum of weights, one check for awaited parts

Bookkeeping on silent nodes stood inside the replay decision, the check for a part still out and the sum of weights stood three times each, and the draw for the lookup at the door passed through a hidden field.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /**
  * The decision module: every decision, table and tuned value of a query router.
@@ -199,7 +200,7 @@
 
     /** The next decision for one lookup; false when it only has to wait, until lookAt at the latest. */
     private boolean step(Lookup lk, Host h) {
-        double in = weightIn(lk);
+        double in = weight(lk, p -> p.satisfied);
         boolean allThere = lk.parts.size() >= lk.announced;
         // The n-th valid part ends the query (design page); a second step needs all of its parts.
         if (allThere && in >= needed(lk) - SLACK) {
@@ -239,16 +240,22 @@
         }
         if (!lk.replayed && now >= lk.startedAt + lk.roundUs) {
             lk.replayed = true;
+            judge(lk);
             replay(lk, in);
         }
         sendAgain(lk, in);
-        long next = lk.replayed ? lk.endAt : lk.startedAt + lk.roundUs;
-        lk.lookAt = Math.min(lk.lookAt, next);
+        if (!lk.replayed) {
+            lk.lookAt = Math.min(lk.lookAt, lk.startedAt + lk.roundUs);
+        }
         return !outbox.isEmpty() || !surplus.isEmpty();
     }
 
-    private double weightIn(Lookup lk) {
-        return lk.parts.stream().mapToDouble(p -> p.satisfied ? p.weight : 0).sum();
+    private static double weight(Lookup lk, Predicate<Part> which) {
+        return lk.parts.stream().filter(which).mapToDouble(p -> p.weight).sum();
+    }
+
+    private static boolean awaited(Part p) {
+        return !p.satisfied && p.out > 0;
     }
 
     private double needed(Lookup lk) {
@@ -301,19 +308,18 @@
         return true;
     }
 
-    /** After the silent first round: missing parts still short of n go once more, to another replica. */
-    private void replay(Lookup lk, double in) {
-        List<Part> silent = new ArrayList<>();
-        for (Part p : lk.parts) {
-            p.calls.stream().filter(c -> c.outcome == null && lk.judges)
-                    .forEach(c -> health.silent(replicas.seen(c.node), c, now));
-            if (!p.satisfied && p.out > 0) {
-                silent.add(p);
-            }
-        }
+    /** What the silence of its round says of the nodes; with less than a full round it says nothing. */
+    private void judge(Lookup lk) {
         if (lk.judges) {
-            health.round(lk.parts.size(), silent.size());
+            lk.parts.forEach(p -> p.calls.stream().filter(c -> c.outcome == null)
+                    .forEach(c -> health.silent(replicas.seen(c.node), c, now)));
+            health.round(lk.parts.size(), (int) lk.parts.stream().filter(FastestValid::awaited).count());
         }
+    }
+
+    /** After the silent first round: missing parts still short of n go once more, to another replica. */
+    private void replay(Lookup lk, double in) {
+        List<Part> silent = new ArrayList<>(lk.parts.stream().filter(FastestValid::awaited).toList());
         // When most nodes look bad the cause is shared, and a second copy only adds to it; but a part that
         // later ones have overtaken at its node is stuck, not slow.
         if (health.sharedTrouble()) {
@@ -350,7 +356,7 @@
 
     /** Parts that were never sent, or whose part calls all ended without an answer. */
     private void sendAgain(Lookup lk, double in) {
-        double may = in + lk.parts.stream().mapToDouble(p -> !p.satisfied && p.out > 0 ? p.weight : 0).sum();
+        double may = in + weight(lk, FastestValid::awaited);
         for (Part p : lk.parts) {
             // What has lost its node waits for a sign that the lookup is not what killed it.
             boolean wait = p.calls.isEmpty() ? lk.scouting
@@ -589,10 +595,10 @@
             return !holders(p).isEmpty();
         }
 
-        boolean heldWithRoom(Part p, Admission admission, ColdGuard cold, long now) {
+        boolean heldWithRoom(Part p, Admission admission, double luck, ColdGuard cold, long now) {
             long roundUs = p.lookup.roundUs;
             return holders(p).stream().anyMatch(s -> cold.admits(s, known.values(), now)
-                    && admission.room(s, health.latency(s, roundUs, now), roundUs));
+                    && admission.room(s, health.latency(s, roundUs, now), luck, roundUs));
         }
 
         /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
@@ -671,7 +677,9 @@
         private static final double SHARED = 0.3;
         private static final double DYING = 1.5;
         private static final double DROPS = 0.08;
+        private static final double OFTENER = 1.2;
         private final long memoryUs;
+        private final long roundUs;
         /** Share of parts, smoothed, that were still out after a round. */
         private double quiet;
         /** The same for part calls on connections not used for a while, and for the others. */
@@ -688,6 +696,7 @@
         /** @param softUs the longest soft deadline of any index; what was seen fades over a few of these */
         public Health(long softUs) {
             memoryUs = 4 * softUs;
+            roundUs = softUs / 3;
         }
 
         /** @param tookUs below 0 where the router can't tell */
@@ -736,7 +745,7 @@
          * busy. Catches full or restarted middle boxes too; may cost connections while nodes hang.
          */
         boolean idleDrop(long now) {
-            return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, 1.2 * busyQuiet);
+            return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, OFTENER * busyQuiet);
         }
 
         private void connection(PartCall c, double silent, long now) {
@@ -863,8 +872,9 @@
             while (!s.coldSends.isEmpty() && s.coldSends.peek() <= now - fallUs) {
                 s.coldSends.poll();
             }
-            if (s.coldTurn != (now - s.node.startedAt) / fallUs) {
-                s.coldTurn = (now - s.node.startedAt) / fallUs;
+            long turn = (now - s.node.startedAt) / fallUs;
+            if (s.coldTurn != turn) {
+                s.coldTurn = turn;
                 s.coldChance = random.nextDouble();
                 s.likeRate = likeRate(s, nodes, now);
             }
@@ -883,7 +893,7 @@
                     like++;
                 }
             }
-            return like == 0 ? 1 / (health.average(health.memoryUs / 12) * groupSize)
+            return like == 0 ? 1 / (health.average(health.roundUs) * groupSize)
                     : Math.max(rate / like, 1 / (latency * groupSize));
         }
 
@@ -961,8 +971,6 @@
         private static final double ROUNDS_UNTOLD = 2;
         private final long maxComeBackUs;
         private final SplittableRandom random;
-        /** Of the lookup at the door, one for all its parts. */
-        private double luck;
 
         /** @param maxComeBackUs 0 where clients are told no time */
         public Admission(long seed, long maxComeBackUs) {
@@ -970,7 +978,8 @@
             this.maxComeBackUs = maxComeBackUs;
         }
 
-        boolean room(Seen s, double latency, long roundUs) {
+        /** @param luck one draw for all parts of the lookup at the door */
+        boolean room(Seen s, double latency, double luck, long roundUs) {
             double expected = latency * (s.calls + 1) / (s.usualCalls + 1);
             return s.smoothedUs == 0 || expected * (s.calls == 0 ? luck : 1)
                     <= (maxComeBackUs > 0 ? ROUNDS_TOLD : ROUNDS_UNTOLD) * roundUs;
@@ -978,9 +987,8 @@
 
         /** Too few of its parts have a holder with room. */
         boolean refuses(Lookup lk, Replicas replicas, ColdGuard cold, long now) {
-            luck = random.nextDouble();
-            return lk.parts.stream().filter(p -> replicas.heldWithRoom(p, this, cold, now))
-                    .mapToDouble(p -> p.weight).sum() < lk.index.need - SLACK;
+            double luck = random.nextDouble();
+            return weight(lk, p -> replicas.heldWithRoom(p, this, luck, cold, now)) < lk.index.need - SLACK;
         }
 
         long comeBack(Lookup lk) {
