--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -1,6 +1,15 @@
 package tinlink;
 
+import java.io.IOException;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import tinlink.benchlink.BenchLink;
+import tinlink.router.Router;
+import tinlink.start.BadInput;
+import tinlink.start.KeptLogs;
+import tinlink.start.RouterStart;
 
 /** Dispatches the commands of the jar. */
 public final class Main {
@@ -8,11 +17,44 @@
     }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar tinlink.jar benchlink");
-            System.err.println("  benchlink   host decision instances on standard input and output");
-            System.exit(2);
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "benchlink" -> System.exit(new BenchLink(System.in, System.out, System.err).run());
+            case "serve" -> serve();
+            default -> {
+                System.err.println("usage: java -jar tinlink.jar benchlink|serve");
+                System.err.println("  benchlink   host decision instances on standard input and output");
+                System.err.println("  serve       run one query router, told by NODE_CONFIG");
+                System.exit(2);
+            }
+        }
+    }
+
+    private static void serve() {
+        System.setProperty("java.util.logging.manager", KeptLogs.class.getName());
+        try {
+            RouterStart start = new RouterStart(System.getenv());
+            Logger log = Logger.getLogger("tinlink");
+            Handler console = new ConsoleHandler();
+            console.setLevel(Level.ALL);
+            log.addHandler(console);
+            log.setUseParentHandlers(false);
+            log.setLevel(start.logLevel);
+            Router router = new Router(start);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    router.stopAndWait();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }));
+            router.run();
+        } catch (BadInput e) {
+            System.err.println(e.getMessage());
+            System.exit(1);
+        } catch (IOException e) {
+            System.err.println("serve: " + e.getMessage());
+            System.exit(1);
         }
-        System.exit(new BenchLink(System.in, System.out, System.err).run());
     }
 }
--- a/src/main/java/tinlink/benchlink/BenchLink.java
+++ b/src/main/java/tinlink/benchlink/BenchLink.java
@@ -14,6 +14,8 @@
 import java.util.Map;
 import java.util.Set;
 import tinlink.decision.Aggregator;
+import tinlink.start.BadInput;
+import tinlink.start.Figures;
 
 /** The wire on standard input and output: batches of events in, one reply to each out. */
 public final class BenchLink {
@@ -126,7 +128,7 @@
         }
         if (line.name().equals("start")) {
             long seed = line.whole("prng");
-            instances.put(who, new Instance(seed, new StartFigures(line.rest())));
+            instances.put(who, new Instance(seed, Figures.ofPairs("start", line.rest())));
             return;
         }
         Instance instance = instances.get(who);
--- a/src/main/java/tinlink/benchlink/Instance.java
+++ b/src/main/java/tinlink/benchlink/Instance.java
@@ -7,13 +7,15 @@
 import java.util.Map;
 import tinlink.decision.Aggregator;
 import tinlink.decision.DataNode;
-import tinlink.decision.FastestValid;
 import tinlink.decision.Host;
 import tinlink.decision.Index;
 import tinlink.decision.Lookup;
 import tinlink.decision.Outcome;
 import tinlink.decision.Part;
 import tinlink.decision.PartCall;
+import tinlink.start.BadInput;
+import tinlink.start.Figures;
+import tinlink.start.ModuleStart;
 
 /** One router: its decision module, the ids of what it holds, and the actions of the batch in hand. */
 final class Instance implements Host {
@@ -36,53 +38,10 @@
     private final Map<String, HeldPart> parts = new HashMap<>();
     private final StringBuilder out = new StringBuilder();
 
-    Instance(long seed, StartFigures f) {
-        indexes = new Index[f.whole("profiles.count", 0)];
-        long longestSoft = 1;
-        for (int i = 0; i < indexes.length; i++) {
-            indexes[i] = index(f, i);
-            longestSoft = Math.max(longestSoft, indexes[i].softUs);
-        }
-        int openCap = f.whole("limits.openCap", 1000);
-        FastestValid.Health health = new FastestValid.Health(longestSoft);
-        module = new FastestValid(
-                new FastestValid.Rounds(f.micros("stepMs", 1000), f.whole("limits.tryLimit", 1),
-                        f.flag("limits.secondCopies"), f.flag("limits.cancel")),
-                new FastestValid.Replicas(f.whole("familyInfo.sets", 1), f.whole("familyInfo.reach", 1),
-                        f.whole("familyInfo.bundleMax", 1), f.micros("familyInfo.callMs", 0),
-                        f.whole("zone", 0), f.number("charges.crossZone", 0), health),
-                health,
-                new FastestValid.ColdGuard(seed, f.whole("groupSize", 1), f.number("rules.startCapacity", 1),
-                        f.micros("rules.coldMs", 0), f.number("rules.fallMultiple", 1),
-                        f.micros("rules.fallMs", 0), health),
-                new FastestValid.Budget(f.micros("rules.lookBackMs", 0), f.number("rules.minExtra", 0),
-                        f.number("rules.resendRatio", 0), openCap),
-                new FastestValid.Admission(seed,
-                        f.flag("limits.retryAfter") ? f.micros("limits.maxRetryAfterMs", 0) : 0),
-                new FastestValid.ListFollowing(seed, f.text("discovery", "pushed").equals("on_request"),
-                        f.micros("rules.mustAskInMs", 1_000_000)));
-    }
-
-    private static Index index(StartFigures f, int i) {
-        String at = "profiles." + i + ".";
-        Index x = new Index();
-        String effect = f.text(at + "effect", "pure");
-        x.effect = switch (effect) {
-            case "pure" -> Index.Effect.IDEMPOTENT;
-            case "token" -> Index.Effect.FINGERPRINTED;
-            case "side_effect" -> Index.Effect.ONCE_ONLY;
-            default -> throw new BadInput("start: '" + at + "effect' is not known: " + effect);
-        };
-        x.hardUs = f.micros(at + "deadlineMs", 1_000_000);
-        x.softUs = f.micros(at + "onTimeMs", x.hardUs);
-        x.windowUs = f.micros(at + "windowMs", 0);
-        x.gain = f.number(at + "worth", 1);
-        x.lateGain = f.number(at + "lateWorth", 0);
-        x.need = f.item("familyInfo.completeFrom", i, 1);
-        x.floor = f.item("familyInfo.minShare", i, x.need);
-        x.partialGain = f.item("familyInfo.incompleteWorth", i, 0);
-        x.secondStep = (int) f.item("familyInfo.followUp", i, 0);
-        return x;
+    Instance(long seed, Figures f) {
+        ModuleStart start = new ModuleStart(seed, f);
+        indexes = start.indexes;
+        module = start.module;
     }
 
     void clock(long nowUs) {
--- a/src/main/java/tinlink/benchlink/Line.java
+++ b/src/main/java/tinlink/benchlink/Line.java
@@ -1,7 +1,7 @@
 package tinlink.benchlink;
 
-import java.math.BigDecimal;
-import java.math.RoundingMode;
+import tinlink.start.BadInput;
+import tinlink.start.Figures;
 
 /** One line of the wire, read field by field. */
 final class Line {
@@ -100,11 +100,6 @@
     }
 
     static long micros(String name, String what, String millis) {
-        try {
-            BigDecimal us = new BigDecimal(millis).movePointRight(3);
-            return us.setScale(0, RoundingMode.HALF_UP).longValueExact();
-        } catch (ArithmeticException | NumberFormatException e) {
-            throw new BadInput(name + ": field '" + what + "' is no time: " + millis);
-        }
+        return Figures.micros(name + ": field '" + what + "'", millis);
     }
 }
--- a/src/main/java/tinlink/benchlink/Sheet.java
+++ b/src/main/java/tinlink/benchlink/Sheet.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import tinlink.decision.DataNode;
+import tinlink.start.BadInput;
 
 /** A numbered list of data nodes, as the wire gives it to the whole process. */
 final class Sheet {
--- /dev/null
+++ b/src/main/java/tinlink/net/Clock.java
@@ -0,0 +1,11 @@
+package tinlink.net;
+
+/** One clock for the module, the timers and the starts of data nodes: Unix microseconds that never go back. */
+final class Clock {
+    private final long unixUs = 1000 * System.currentTimeMillis();
+    private final long nano = System.nanoTime();
+
+    long nowUs() {
+        return unixUs + (System.nanoTime() - nano) / 1000;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/net/Ending.java
@@ -0,0 +1,50 @@
+package tinlink.net;
+
+import tinlink.decision.Outcome;
+
+/** All ways in which a connection can end, and what each means for a part call that was out on it. */
+public enum Ending {
+    /** The connect was refused or failed. */
+    REFUSED,
+    /** The connect did not come up in time. */
+    NOT_UP,
+    /** No descriptor was left for it. */
+    NO_SOCKET,
+    /** The other side ended it in order. */
+    PEER_CLOSED,
+    /** The other side or the network broke it; a read failed. */
+    BROKEN,
+    /** A write failed. */
+    WRITE_FAILED,
+    /** What came in is not of the protocol. */
+    BAD_INPUT,
+    /** The data node could not use a frame of ours and said so. */
+    FRAME_REJECTED,
+    /** We closed it: it stood idle. */
+    IDLE,
+    /** We closed it: the module asked for a new one. */
+    RELEASED,
+    /** We closed it: what was sent on it went unanswered. */
+    SILENT,
+    /** We closed it: the other side is off the list, or has moved. */
+    GONE,
+    /** We closed it after the last answer, or as the router stops. */
+    DONE,
+    /** A fault of our own. */
+    FAULT;
+
+    /**
+     * Danger: a part call taken for one that never ran may have its effect twice.
+     *
+     * @param left the last byte of its frame was handed to the kernel, or may have been
+     */
+    public Outcome outcome(boolean left) {
+        return switch (this) {
+            case NO_SOCKET -> Outcome.NOT_SENT;
+            case REFUSED, NOT_UP -> Outcome.NO_CONNECTION;
+            case PEER_CLOSED, BROKEN, WRITE_FAILED -> left ? Outcome.CONNECTION_LOST : Outcome.NO_CONNECTION;
+            case BAD_INPUT, FRAME_REJECTED -> left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
+            case IDLE, RELEASED, SILENT, GONE, DONE, FAULT -> left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/net/Loop.java
@@ -0,0 +1,127 @@
+package tinlink.net;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The one thread that all state belongs to. Completion handlers only queue what is ready; a turn takes all of
+ * it, sets the clock once, hands it over, lets the module decide, and then writes each connection once.
+ */
+public final class Loop {
+    private static final Logger LOG = Logger.getLogger("tinlink.loop");
+
+    /** What a turn does before and after what was ready. */
+    public interface Turn {
+        void begins(long nowUs);
+
+        void decides();
+    }
+
+    /** Something to be done at a time, unless it is taken back. */
+    public static final class Timer implements Comparable<Timer> {
+        private final long atUs;
+        private final long order;
+        private final Runnable what;
+
+        private Timer(long atUs, long order, Runnable what) {
+            this.atUs = atUs;
+            this.order = order;
+            this.what = what;
+        }
+
+        @Override
+        public int compareTo(Timer o) {
+            return atUs != o.atUs ? Long.compare(atUs, o.atUs) : Long.compare(order, o.order);
+        }
+    }
+
+    private final Clock clock = new Clock();
+    private final LinkedBlockingQueue<Runnable> ready = new LinkedBlockingQueue<>();
+    /** Emptied as their times come, or as they are taken back. */
+    private final TreeSet<Timer> timers = new TreeSet<>();
+    /** Links with something to write; emptied each turn. */
+    private final List<Link> unwritten = new ArrayList<>();
+    private long timersSet;
+    private long now = clock.nowUs();
+    private boolean over;
+
+    /** The time of the turn. */
+    public long now() {
+        return now;
+    }
+
+    /** From any thread. */
+    public void ready(Runnable what) {
+        ready.add(what);
+    }
+
+    public Timer at(long us, Runnable what) {
+        Timer t = new Timer(us, timersSet++, what);
+        timers.add(t);
+        return t;
+    }
+
+    public void takeBack(Timer t) {
+        if (t != null) {
+            timers.remove(t);
+        }
+    }
+
+    void unwritten(Link link) {
+        unwritten.add(link);
+    }
+
+    /** The loop ends after the turn in hand. */
+    public void end() {
+        over = true;
+    }
+
+    public void run(Turn turn) {
+        List<Runnable> batch = new ArrayList<>();
+        while (!over) {
+            Runnable first = await();
+            if (first != null) {
+                batch.add(first);
+            }
+            ready.drainTo(batch);
+            now = clock.nowUs();
+            guarded(() -> turn.begins(now));
+            batch.forEach(Loop::guarded);
+            batch.clear();
+            while (!timers.isEmpty() && timers.first().atUs <= now) {
+                guarded(timers.pollFirst().what);
+            }
+            guarded(turn::decides);
+            for (int i = 0; i < unwritten.size(); i++) {
+                unwritten.get(i).write();
+            }
+            unwritten.clear();
+        }
+    }
+
+    private Runnable await() {
+        try {
+            if (timers.isEmpty()) {
+                return ready.take();
+            }
+            long wait = timers.first().atUs - clock.nowUs();
+            return wait <= 0 ? ready.poll() : ready.poll(wait, TimeUnit.MICROSECONDS);
+        } catch (InterruptedException e) {
+            return null; // Nobody interrupts the loop; the turn then finds nothing.
+        }
+    }
+
+    /** Danger: one fault of ours that stops the loop would lose every lookup in hand. */
+    private static void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "a turn goes on without one step that failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/net/Network.java
@@ -0,0 +1,130 @@
+package tinlink.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.List;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Opens links on the loop: the channels' group, the pooled rings, and the door for clients. */
+public final class Network {
+    /**
+     * Runs a completion handler where it completes: handlers only queue, so no thread of their own is needed.
+     * With a pool of this kind a read or write is first tried at once, on the loop's thread.
+     */
+    private static final class InPlace extends AbstractExecutorService {
+        private volatile boolean down;
+
+        @Override
+        public void execute(Runnable what) {
+            what.run();
+        }
+
+        @Override
+        public void shutdown() {
+            down = true;
+        }
+
+        @Override
+        public List<Runnable> shutdownNow() {
+            down = true;
+            return List.of();
+        }
+
+        @Override
+        public boolean isShutdown() {
+            return down;
+        }
+
+        @Override
+        public boolean isTerminated() {
+            return down;
+        }
+
+        @Override
+        public boolean awaitTermination(long timeout, TimeUnit unit) {
+            return down;
+        }
+    }
+
+    /** Who lets clients in. */
+    public interface Door {
+        /** The owner of a link that was just accepted. */
+        Link.Owner owner();
+
+        void opened(Link link, Link.Owner owner);
+
+        /** Whether the next one may be accepted now; if not, {@link Network#accept} is called again later. */
+        boolean mayOpen();
+
+        void acceptFailed(Throwable why);
+    }
+
+    private final Loop loop;
+    private final Rings rings = new Rings();
+    private final AsynchronousChannelGroup group;
+    private AsynchronousServerSocketChannel server;
+    private boolean accepting;
+
+    public Network(Loop loop) throws IOException {
+        this.loop = loop;
+        group = AsynchronousChannelGroup.withThreadPool(new InPlace());
+    }
+
+    public Link connect(InetSocketAddress to, Link.Owner owner) throws IOException {
+        return Link.connect(loop, rings, group, to, owner);
+    }
+
+    public void listen(InetSocketAddress at) throws IOException {
+        server = AsynchronousServerSocketChannel.open(group).bind(at, 1024);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) server.getLocalAddress();
+    }
+
+    /** Accepts one after another, as long as the door lets them. */
+    public void accept(Door door) {
+        if (accepting || server == null || !server.isOpen() || !door.mayOpen()) {
+            return;
+        }
+        accepting = true;
+        server.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+            @Override
+            public void completed(AsynchronousSocketChannel channel, Void none) {
+                loop.ready(() -> {
+                    accepting = false;
+                    Link.Owner owner = door.owner();
+                    Link link = Link.accepted(loop, rings, channel, owner);
+                    door.opened(link, owner);
+                    link.start();
+                    accept(door);
+                });
+            }
+
+            @Override
+            public void failed(Throwable e, Void none) {
+                loop.ready(() -> {
+                    accepting = false;
+                    if (server.isOpen()) {
+                        door.acceptFailed(e);
+                    }
+                });
+            }
+        });
+    }
+
+    public void stopAccepting() {
+        try {
+            if (server != null) {
+                server.close();
+            }
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/net/Protocol.java
@@ -0,0 +1,16 @@
+package tinlink.net;
+
+/** The figures that PROTOCOL fixes for every message. */
+public final class Protocol {
+    /** A body, and so a query's text or a value, holds at most this. */
+    public static final int MOST_BODY = 64 << 10;
+    /** The lines before a body or a value. */
+    public static final int MOST_HEAD = 16 << 10;
+    /** Unread bytes that a link holds at most. */
+    static final int MOST_HELD = MOST_BODY;
+    /** While nothing changes, discovery writes an empty line this often. */
+    public static final long WATCH_LINE_US = 2_000_000;
+
+    private Protocol() {
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/Bundle.java
@@ -0,0 +1,18 @@
+package tinlink.router;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Part calls that travel in one frame and use one place on a connection. */
+final class Bundle {
+    final List<Sent> sent = new ArrayList<>();
+    NodeLink link;
+    /** Where its frame ends in what the link has written; 0 while it waits. */
+    long frameEnd;
+    /** Part calls whose outcome is not known. */
+    int open;
+
+    boolean waits() {
+        return frameEnd == 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/Client.java
@@ -0,0 +1,175 @@
+package tinlink.router;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.net.BadMessage;
+import tinlink.net.Ending;
+import tinlink.net.HttpReader;
+import tinlink.net.JsonReader;
+import tinlink.net.Link;
+import tinlink.net.Ring;
+
+/** A client's connection: one request at a time, the next one is read when its answer has been given. */
+final class Client implements Link.Owner, HttpReader.Sink {
+    private static final Logger LOG = Logger.getLogger("tinlink.intake");
+    private final Intake intake;
+    private final HttpReader reader = HttpReader.ofRequests(this);
+    private final Map<String, String> fields = new HashMap<>();
+    private Link link;
+    private String method;
+    private String path;
+    private boolean keep;
+    private JsonReader body;
+    /** In hand; a close now means that its client has left. */
+    private Query query;
+    private boolean lastAnswer;
+
+    Client(Intake intake) {
+        this.intake = intake;
+    }
+
+    void on(Link link) {
+        this.link = link;
+    }
+
+    /** Nothing is in hand and nothing has been read of a next request. */
+    boolean isIdle() {
+        return query == null && !lastAnswer && reader.between();
+    }
+
+    Link link() {
+        return link;
+    }
+
+    @Override
+    public void arrived(Ring in) {
+        intake.busy(this);
+        try {
+            while (query == null && !lastAnswer && in.size() > 0) {
+                reader.read(in);
+            }
+        } catch (BadMessage e) {
+            LOG.log(Level.FINE, "a request is not used: {0}", e.getMessage());
+            keep = false;
+            answer(Reply.plain(e.status, e.getMessage()));
+        } catch (RuntimeException e) {
+            // Danger: a fault of ours must not leave the client without an answer, nor word a refusal.
+            LOG.log(Level.SEVERE, "a request failed by a fault of ours", e);
+            Query failed = query;
+            query = null;
+            if (failed != null) {
+                intake.gone(failed);
+            }
+            keep = false;
+            answer(Reply.plain(500, "a fault of the router"));
+        }
+        while (lastAnswer && in.size() > 0) {
+            in.takeRun(in.size()); // What still comes is not read, so that the answer is not cut off by a reset.
+        }
+        if (isIdle()) {
+            intake.idle(this);
+        }
+    }
+
+    @Override
+    public void first(String one, String two, String three) {
+        method = one;
+        int mark = two.indexOf('?');
+        path = mark < 0 ? two : two.substring(0, mark);
+        keep = three.equals("HTTP/1.1");
+        fields.clear();
+        body = null;
+    }
+
+    @Override
+    public void field(String name, String value) throws BadMessage {
+        if (fields.put(name, value) != null && name.startsWith("x-")) {
+            throw new BadMessage(400, name + ": twice");
+        }
+    }
+
+    @Override
+    public void headOver() throws BadMessage {
+        String connection = fields.getOrDefault("connection", "");
+        keep = keep && !connection.equalsIgnoreCase("close");
+        String wants = switch (path) {
+            case "/api" -> "POST";
+            case "/-/ready" -> "GET";
+            default -> throw new BadMessage(404, "no such path");
+        };
+        if (!method.equals(wants)) {
+            throw new BadMessage(405, "the method is " + wants);
+        }
+        if (wants.equals("POST")) {
+            body = new JsonReader();
+            if (fields.getOrDefault("expect", "").equalsIgnoreCase("100-continue")) {
+                link.out().put("HTTP/1.1 100 Continue\r\n\r\n");
+                link.later();
+            }
+        }
+    }
+
+    @Override
+    public void body(ByteBuffer piece) throws BadMessage {
+        if (body != null) {
+            body.read(piece);
+        }
+    }
+
+    @Override
+    public void over() throws BadMessage {
+        if (body == null) {
+            answer(intake.stopping() ? Reply.plain(503, "stopping") : Reply.plain(200, "ready"));
+            return;
+        }
+        Query q = intake.read(fields, body, this);
+        body = null;
+        if (!intake.hasRoom(q)) {
+            // Nothing of it was sent anywhere, so a refusal is honest.
+            answer(Reply.plain(503, "too many lookups in hand"));
+            return;
+        }
+        query = q;
+        intake.take(q);
+    }
+
+    /** The final answer of the query in hand. */
+    void answer(Query q, Reply reply) {
+        if (query == q) {
+            query = null;
+            answer(reply);
+            if (!lastAnswer) {
+                intake.soon(this); // What came meanwhile is read in the next turn.
+            }
+        }
+    }
+
+    private void answer(Reply reply) {
+        lastAnswer = !keep || intake.stopping();
+        reply.write(link.out(), lastAnswer);
+        link.later();
+        if (lastAnswer) {
+            intake.leave(this);
+        }
+    }
+
+    @Override
+    public void idle() {
+        if (lastAnswer) {
+            link.halfClose();
+        }
+    }
+
+    @Override
+    public void ended(Ending how) {
+        intake.ended(this);
+        if (query != null) {
+            Query left = query;
+            query = null;
+            intake.gone(left);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/Descriptors.java
@@ -0,0 +1,41 @@
+package tinlink.router;
+
+/**
+ * The count of open descriptors against the limit. A quarter is kept back for data nodes and an eighth for the
+ * process itself, so that clients alone never use up what their lookups need.
+ */
+final class Descriptors {
+    private final int forClients;
+    private final int forNodes;
+    private int clients;
+    private int nodes;
+
+    Descriptors(int limit) {
+        forClients = limit - limit / 4 - limit / 8;
+        forNodes = limit - limit / 8;
+    }
+
+    boolean hasForClient() {
+        return clients < forClients;
+    }
+
+    boolean hasForNode() {
+        return clients + nodes < forNodes;
+    }
+
+    void clientOpened() {
+        clients++;
+    }
+
+    void clientClosed() {
+        clients--;
+    }
+
+    void nodeOpened() {
+        nodes++;
+    }
+
+    void nodeClosed() {
+        nodes--;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/Intake.java
@@ -0,0 +1,165 @@
+package tinlink.router;
+
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.net.BadMessage;
+import tinlink.net.Ending;
+import tinlink.net.JsonReader;
+import tinlink.net.Link;
+import tinlink.net.Loop;
+import tinlink.net.Network;
+
+/** Lets clients in and hands their queries to the module's turn. */
+final class Intake implements Network.Door {
+    private static final Logger LOG = Logger.getLogger("tinlink.intake");
+    private final Loop loop;
+    private final Network network;
+    private final Descriptors descriptors;
+    private final QueryReader reader;
+    private final ModuleTurn turn;
+    private final int openCap;
+    /** How long the other side may take to see a close. */
+    private final long lingerUs;
+    /** Open client connections; each leaves as it ends. */
+    private final Set<Client> clients = new LinkedHashSet<>();
+    /** Those with nothing in hand, longest first. */
+    private final Set<Client> idle = new LinkedHashSet<>();
+    private boolean stopping;
+
+    Intake(Loop loop, Network network, Descriptors descriptors, QueryReader reader, ModuleTurn turn,
+           int openCap, long lingerUs) {
+        this.loop = loop;
+        this.network = network;
+        this.descriptors = descriptors;
+        this.reader = reader;
+        this.turn = turn;
+        this.openCap = openCap;
+        this.lingerUs = lingerUs;
+    }
+
+    // ---- The door. ----
+
+    @Override
+    public Link.Owner owner() {
+        return new Client(this);
+    }
+
+    @Override
+    public void opened(Link link, Link.Owner owner) {
+        descriptors.clientOpened();
+        Client c = (Client) owner;
+        c.on(link);
+        clients.add(c);
+        idle.add(c);
+    }
+
+    /** Danger: accepting without a descriptor to spare fails again at once, and spins. */
+    @Override
+    public boolean mayOpen() {
+        return descriptors.hasForClient() || closeIdle();
+    }
+
+    @Override
+    public void acceptFailed(Throwable why) {
+        LOG.log(Level.WARNING, "accept failed", why);
+        loop.at(loop.now() + lingerUs, () -> network.accept(this));
+    }
+
+    /** Closes the client connection that has been idle longest, which its client then opens anew. */
+    boolean closeIdle() {
+        if (idle.isEmpty()) {
+            return false;
+        }
+        idle.iterator().next().link().end(Ending.IDLE);
+        return true;
+    }
+
+    // ---- What clients say. ----
+
+    void busy(Client c) {
+        idle.remove(c);
+    }
+
+    void idle(Client c) {
+        if (clients.contains(c)) {
+            idle.add(c);
+            if (!descriptors.hasForClient()) {
+                loop.ready(() -> network.accept(this)); // It may give way to one that waits at the door.
+            }
+        }
+    }
+
+    void ended(Client c) {
+        clients.remove(c);
+        idle.remove(c);
+        descriptors.clientClosed();
+        loop.ready(() -> network.accept(this));
+    }
+
+    /** It has had its last answer; if it does not end the connection itself, we do. */
+    void leave(Client c) {
+        busy(c);
+        loop.at(loop.now() + lingerUs, () -> {
+            if (c.link().isIdle()) {
+                c.link().end(Ending.DONE);
+            } else {
+                leave(c);
+            }
+        });
+    }
+
+    void soon(Client c) {
+        loop.ready(() -> {
+            if (!c.link().isOver()) {
+                c.link().more();
+            }
+        });
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    Query read(Map<String, String> fields, JsonReader body, Client c) throws BadMessage {
+        Query q = reader.read(fields, body, c, loop.now());
+        if (turn.holds(q.callId)) {
+            throw new BadMessage(409, "x-call-id: one of that id is in hand");
+        }
+        return q;
+    }
+
+    boolean hasRoom(Query q) {
+        return turn.open() + 1 + q.parts.size() <= openCap;
+    }
+
+    void take(Query q) {
+        turn.take(q);
+    }
+
+    void gone(Query q) {
+        turn.clientGone(q);
+    }
+
+    // ---- The stop. ----
+
+    /** From now on every answer is the last one on its connection. */
+    void stopping(boolean on) {
+        stopping = on;
+    }
+
+    /** Clients with nothing in hand are told that nothing more comes; what crosses that they send elsewhere. */
+    void closeDoor() {
+        network.stopAccepting();
+        for (Client c : Set.copyOf(idle)) {
+            c.link().halfClose();
+            leave(c);
+        }
+    }
+
+    boolean isEmpty() {
+        return clients.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -0,0 +1,187 @@
+package tinlink.router;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.decision.Aggregator;
+import tinlink.decision.DataNode;
+import tinlink.decision.Host;
+import tinlink.decision.Lookup;
+import tinlink.decision.Outcome;
+import tinlink.decision.Part;
+import tinlink.decision.PartCall;
+import tinlink.net.Loop;
+
+/** A turn of the module: its clock, its inputs, its decisions, and then what these ask for. */
+final class ModuleTurn implements Host, Loop.Turn {
+    private static final Logger LOG = Logger.getLogger("tinlink.turn");
+    private final Loop loop;
+    private final Aggregator module;
+    /** Queries in hand; each leaves with its answer or its client. */
+    private final Map<String, Query> queries = new HashMap<>();
+    /** Queries with inputs in this turn; emptied at its end. */
+    private final Set<Query> touched = new LinkedHashSet<>();
+    /** What this turn's decisions ask for; emptied at its end. */
+    private final List<Runnable> asked = new ArrayList<>();
+    private int parts;
+    private boolean carrying;
+    private PartSends sends;
+    private Runnable follow;
+
+    ModuleTurn(Loop loop, Aggregator module) {
+        this.loop = loop;
+        this.module = module;
+    }
+
+    void serves(PartSends sends, Runnable follow) {
+        this.sends = sends;
+        this.follow = follow;
+    }
+
+    // ---- Inputs. ----
+
+    @Override
+    public void begins(long nowUs) {
+        module.clock(nowUs);
+    }
+
+    boolean holds(String callId) {
+        return queries.containsKey(callId);
+    }
+
+    /** Lookups and parts in hand. */
+    int open() {
+        return queries.size() + parts;
+    }
+
+    void take(Query q) {
+        List<Part> all = q.parts;
+        q.parts = new ArrayList<>(all.size());
+        queries.put(q.callId, q);
+        parts += all.size();
+        touched.add(q);
+        module.lookup(q);
+        all.forEach(module::part);
+    }
+
+    void clientGone(Query q) {
+        if (!q.ended) {
+            module.clientGone(q);
+        }
+        drop(q);
+    }
+
+    /** What ends while decisions are carried out is an input of the next turn. */
+    void outcome(Sent s, Outcome how, long reportedUs) {
+        long tookUs = loop.now() - s.call.sentAt;
+        input(m -> {
+            if (s.call.outcome == null) {
+                touched.add(s.segment().query());
+                m.outcome(s.call, how, tookUs, reportedUs);
+            }
+        });
+    }
+
+    void input(Consumer<Aggregator> what) {
+        if (carrying) {
+            loop.ready(() -> what.accept(module));
+        } else {
+            what.accept(module);
+        }
+    }
+
+    // ---- Decisions. ----
+
+    @Override
+    public void decides() {
+        // Danger: a fault in the module would come back at every pull. First the lookups with inputs in this
+        // turn are given up, then all; each as failed, since some part of it may have run.
+        pull(touched);
+        pull(new LinkedHashSet<>(queries.values()));
+        touched.clear();
+        carrying = true;
+        for (int i = 0; i < asked.size(); i++) {
+            try {
+                asked.get(i).run();
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "a decision could not be carried out", e);
+            }
+        }
+        asked.clear();
+        sends.depart();
+        carrying = false;
+    }
+
+    private void pull(Set<Query> blamed) {
+        try {
+            while (module.decide(this)) {
+                // Each decision has been noted as it left.
+            }
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "a fault in the module ends " + blamed.size() + " lookups", e);
+            for (Query q : List.copyOf(blamed)) {
+                clientGone(q);
+                q.client.answer(q, Reply.plain(500, "a fault of the router"));
+            }
+        }
+    }
+
+    private void drop(Query q) {
+        if (queries.remove(q.callId, q)) {
+            parts -= q.parts.size();
+        }
+    }
+
+    @Override
+    public void send(PartCall call, long limitUs) {
+        long until = loop.now() + limitUs;
+        asked.add(() -> sends.send(call, until));
+    }
+
+    @Override
+    public void cancel(PartCall call) {
+        asked.add(() -> sends.cancel(call));
+    }
+
+    @Override
+    public void release(DataNode node) {
+        asked.add(() -> sends.release(node));
+    }
+
+    @Override
+    public void answer(Lookup lk, boolean whole) {
+        ends(lk, Reply.answer((Query) lk, whole));
+    }
+
+    @Override
+    public void nack(Lookup lk, long comeBackUs) {
+        ends(lk, Reply.nack(comeBackUs));
+    }
+
+    @Override
+    public void abort(Lookup lk) {
+        ends(lk, Reply.abort());
+    }
+
+    private void ends(Lookup lk, Reply reply) {
+        Query q = (Query) lk;
+        drop(q);
+        asked.add(() -> q.client.answer(q, reply));
+    }
+
+    @Override
+    public void wake(long atUs) {
+        loop.at(atUs, module::timer);
+    }
+
+    @Override
+    public void followList() {
+        asked.add(follow);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -0,0 +1,245 @@
+package tinlink.router;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.decision.DataNode;
+import tinlink.decision.Outcome;
+import tinlink.net.BadMessage;
+import tinlink.net.Ending;
+import tinlink.net.FrameReader;
+import tinlink.net.Link;
+import tinlink.net.Loop;
+import tinlink.net.Ring;
+
+/** One connection to a data node, and the part calls that are out on it. */
+final class NodeLink implements Link.Owner, FrameReader.Sink {
+    private static final Logger LOG = Logger.getLogger("tinlink.nodes");
+    private final PartSends sends;
+    private final Target target;
+    private final FrameReader reader = new FrameReader(this);
+    /** Part calls whose frames have gone into the ring, by id; each leaves with its outcome. */
+    private final Map<String, Sent> out = new HashMap<>();
+    /** Frames to come, and ids to give up; they go into the ring only when they can leave at once. */
+    private final ArrayDeque<Bundle> waiting = new ArrayDeque<>();
+    private final ArrayDeque<String> givenUp = new ArrayDeque<>();
+    private Link link;
+    /** Places in use. */
+    private int calls;
+    private long usedAt;
+    private long heardAt;
+    private boolean silent;
+    private Loop.Timer connect;
+    private Loop.Timer idle;
+
+    NodeLink(PartSends sends, Target target, long now) {
+        this.sends = sends;
+        this.target = target;
+        usedAt = now;
+    }
+
+    void on(Link link, Loop.Timer connect) {
+        this.link = link;
+        this.connect = connect;
+    }
+
+    Target target() {
+        return target;
+    }
+
+    int calls() {
+        return calls;
+    }
+
+    long usedAt() {
+        return usedAt;
+    }
+
+    boolean isUp() {
+        return link != null && link.isUp();
+    }
+
+    /**
+     * Danger: a machine that has vanished leaves its connections open; one on which a call went unanswered,
+     * with nothing heard since, is not trusted with the next.
+     */
+    boolean isSilent() {
+        return silent;
+    }
+
+    /** Danger: an answer to an earlier part call of that id would pass for one to the new. */
+    boolean confuses(Sent s) {
+        return s.segment().sent.stream().anyMatch(o -> o != s && o.over && o.bundle != null
+                && o.bundle.link == this && !o.bundle.waits() && !o.answered);
+    }
+
+    void end(Ending how) {
+        if (link != null) {
+            link.end(how);
+        }
+    }
+
+    void add(Bundle b) {
+        b.link = this;
+        calls++;
+        sends.takeBack(idle);
+        waiting.add(b);
+        depart();
+    }
+
+    /** One part call is over, and is given up if its frame is out. */
+    void over(Sent s, boolean giveUp) {
+        if (!s.bundle.waits() && out.remove(s.segment().id, s) && giveUp) {
+            givenUp.add(s.segment().id);
+            depart();
+        }
+        if (--s.bundle.open == 0) {
+            waiting.remove(s.bundle);
+            calls--;
+            usedAt = sends.now();
+            if (calls == 0) {
+                idle = sends.idle(this);
+            }
+        }
+    }
+
+    /** A call on it went unanswered for all its time. */
+    void unanswered(Sent s) {
+        silent |= !s.bundle.waits() && heardAt < s.call.sentAt;
+    }
+
+    boolean hasLeft(Sent s) {
+        return !s.bundle.waits() && link.left(s.bundle.frameEnd);
+    }
+
+    @Override
+    public void up() {
+        sends.takeBack(connect);
+        depart();
+    }
+
+    @Override
+    public void idle() {
+        depart();
+    }
+
+    /** Writes what waits, if it can leave at once. */
+    void depart() {
+        if (link == null || !link.isFree()) {
+            return;
+        }
+        Ring ring = link.out();
+        while (!givenUp.isEmpty()) {
+            byte[] id = givenUp.poll().getBytes(StandardCharsets.UTF_8);
+            ring.put(head(1 + id.length, 'A')).put(id);
+            link.later();
+        }
+        while (!waiting.isEmpty()) {
+            Bundle b = waiting.poll();
+            dropStale(b);
+            if (b.open > 0) {
+                frame(b, ring);
+                b.frameEnd = link.later();
+                usedAt = sends.now();
+            }
+        }
+    }
+
+    /**
+     * Danger: what waits for a connection may go out after its lookup has ended or its node was told as
+     * draining or gone.
+     */
+    void dropStale(Bundle b) {
+        for (Sent s : List.copyOf(b.sent)) {
+            if (!s.over && (s.call.part.lookup.ended || s.call.part.satisfied
+                    || target.node.state != DataNode.State.READY)) {
+                sends.over(s, Outcome.NOT_SENT, false);
+            }
+        }
+    }
+
+    void dropStale() {
+        List.copyOf(waiting).forEach(this::dropStale);
+    }
+
+    private void frame(Bundle b, Ring ring) {
+        List<byte[]> lines = new ArrayList<>();
+        int length = 1;
+        for (Sent s : b.sent) {
+            if (!s.over) {
+                Query q = s.segment().query();
+                long waitMs = Math.max(1, (s.until - sends.now() + 999) / 1000);
+                byte[] line = (s.segment().id + " " + s.call.part.shard + " d=" + waitMs
+                        + (q.key == null ? "" : ",k=" + q.key) + " " + q.text.length + "\n")
+                        .getBytes(StandardCharsets.UTF_8);
+                lines.add(line);
+                lines.add(q.text);
+                length += line.length + q.text.length;
+                out.put(s.segment().id, s);
+            }
+        }
+        ring.put(head(length, 'R'));
+        lines.forEach(ring::put);
+    }
+
+    private static byte[] head(int length, char letter) {
+        return new byte[] {(byte) (length >> 24), (byte) (length >> 16), (byte) (length >> 8), (byte) length,
+            (byte) letter};
+    }
+
+    @Override
+    public void arrived(Ring in) {
+        heardAt = sends.now();
+        silent = false;
+        try {
+            reader.read(in);
+        } catch (BadMessage e) {
+            LOG.log(Level.WARNING, "data node {0}: {1}", new Object[] {target.address, e.getMessage()});
+            link.end(Ending.BAD_INPUT);
+        }
+    }
+
+    @Override
+    public void ended(String id, String end, String report, String value) {
+        Sent s = out.get(id);
+        if (s == null) {
+            return; // Over, unknown, or sent to another node: it says nothing any more.
+        }
+        s.answered = true;
+        if (end.equals("OK")) {
+            s.segment().value = value;
+        }
+        sends.over(s, switch (end) {
+            case "OK" -> Outcome.SATISFIED;
+            case "ERROR" -> Outcome.ERROR;
+            default -> Outcome.TURNED_AWAY;
+        }, false);
+    }
+
+    @Override
+    public void rejected(String words) {
+        LOG.log(Level.WARNING, "data node {0} could not use a frame: {1}", new Object[] {target.address, words});
+        link.end(Ending.FRAME_REJECTED);
+    }
+
+    @Override
+    public void ended(Ending how) {
+        sends.takeBack(connect);
+        sends.takeBack(idle);
+        LOG.log(Level.FINE, "data node {0}: {1}, {2} calls out",
+                new Object[] {target.address, how, calls});
+        List<Sent> lost = new ArrayList<>(out.values());
+        waiting.forEach(b -> lost.addAll(b.sent));
+        sends.closed(this);
+        for (Sent s : lost) {
+            if (!s.over) {
+                sends.over(s, how.outcome(hasLeft(s)), false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -0,0 +1,215 @@
+package tinlink.router;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.decision.DataNode;
+import tinlink.decision.Outcome;
+import tinlink.decision.PartCall;
+import tinlink.net.Ending;
+import tinlink.net.Link;
+import tinlink.net.Loop;
+import tinlink.net.Network;
+
+/** Carries part calls to data nodes: frames, connections, time limits, and each call's one outcome. */
+final class PartSends {
+    private static final Logger LOG = Logger.getLogger("tinlink.nodes");
+    private final Loop loop;
+    private final Network network;
+    private final Descriptors descriptors;
+    private final ModuleTurn turn;
+    private final long connectUs;
+    private final long idleUs;
+    private final int callsPerLink;
+    private final boolean mayCancel;
+    private Intake intake;
+    /** Nodes on the list, and those off it with connections; each leaves when it is neither. */
+    private final Map<DataNode, Target> targets = new IdentityHashMap<>();
+    /** This turn's frames; emptied at its end. */
+    private final Map<PartCall.Shared, Bundle> bundles = new IdentityHashMap<>();
+    private final List<Bundle> leaving = new ArrayList<>();
+
+    /** @param idleUs after so long without use a node's machine closes a connection */
+    PartSends(Loop loop, Network network, Descriptors descriptors, ModuleTurn turn, long connectUs,
+              long idleUs, int callsPerLink, boolean mayCancel) {
+        this.loop = loop;
+        this.network = network;
+        this.descriptors = descriptors;
+        this.turn = turn;
+        this.connectUs = connectUs;
+        // Danger: what is written after the node's machine has closed ends as a reset. Ours closes first, by
+        // as much as a connect may take: no message is under way for longer.
+        this.idleUs = Math.max(connectUs, idleUs - connectUs);
+        this.callsPerLink = callsPerLink;
+        this.mayCancel = mayCancel;
+    }
+
+    void serves(Intake intake) {
+        this.intake = intake;
+    }
+
+    long now() {
+        return loop.now();
+    }
+
+    void takeBack(Loop.Timer t) {
+        loop.takeBack(t);
+    }
+
+    // ---- What the list says. ----
+
+    Target target(DataNode node) {
+        return targets.computeIfAbsent(node, Target::new);
+    }
+
+    /** Its state or address has changed: what waits for it may be stale, and so may connections. */
+    void changed(Target t, boolean moved) {
+        for (NodeLink l : List.copyOf(t.links)) {
+            l.dropStale();
+            if (l.calls() == 0 && (moved || t.node.state == DataNode.State.GONE)) {
+                l.end(Ending.GONE);
+            }
+        }
+        forgetIfGone(t);
+    }
+
+    private void forgetIfGone(Target t) {
+        if (t.node.state == DataNode.State.GONE && t.links.isEmpty()) {
+            targets.remove(t.node);
+        }
+    }
+
+    // ---- Decisions. ----
+
+    void send(PartCall call, long until) {
+        Sent s = new Sent(call, until);
+        s.segment().sent.add(s);
+        s.limit = loop.at(until, () -> unanswered(s));
+        Bundle b = bundles.computeIfAbsent(call.shared, x -> new Bundle());
+        if (b.sent.isEmpty()) {
+            leaving.add(b);
+        }
+        b.sent.add(s);
+        b.open++;
+        s.bundle = b;
+    }
+
+    void cancel(PartCall call) {
+        Sent s = ((Segment) call.part).sent.get(call.number);
+        if (!s.over) {
+            over(s, s.bundle.waits() ? Outcome.NOT_SENT : Outcome.CANCELLED, true);
+        }
+    }
+
+    void release(DataNode node) {
+        for (NodeLink l : List.copyOf(target(node).links)) {
+            if (l.calls() == 0) {
+                l.end(Ending.RELEASED);
+            }
+        }
+    }
+
+    /** Puts this turn's frames on connections. */
+    void depart() {
+        for (Bundle b : leaving) {
+            if (b.open > 0) {
+                place(b);
+            }
+        }
+        leaving.clear();
+        bundles.clear();
+    }
+
+    private void place(Bundle b) {
+        Target t = target(b.sent.get(0).call.node);
+        NodeLink best = null;
+        for (NodeLink l : List.copyOf(t.links)) {
+            if (l.calls() == 0 && now() - l.usedAt() >= idleUs) {
+                l.end(Ending.IDLE);
+            } else if (l.calls() < callsPerLink && !l.isSilent() && b.sent.stream().noneMatch(l::confuses)
+                    && (best == null || l.isUp() && !best.isUp())) {
+                best = l;
+            }
+        }
+        best = best == null ? open(t) : best;
+        if (best != null) {
+            best.add(b);
+            return;
+        }
+        for (Sent s : b.sent) {
+            if (!s.over) {
+                over(s, Ending.NO_SOCKET.outcome(false), false);
+            }
+        }
+    }
+
+    private NodeLink open(Target t) {
+        if (t.address == null || !descriptors.hasForNode() && !intake.closeIdle()) {
+            return null;
+        }
+        NodeLink l = new NodeLink(this, t, now());
+        try {
+            Link link = network.connect(t.address, l);
+            l.on(link, loop.at(now() + connectUs, () -> link.end(Ending.NOT_UP)));
+            descriptors.nodeOpened();
+            t.links.add(l);
+            return l;
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.WARNING, "no connection to " + t.address, e);
+            return null;
+        }
+    }
+
+    // ---- Outcomes. ----
+
+    /** The limit has passed. */
+    private void unanswered(Sent s) {
+        if (!s.over) {
+            boolean waits = s.bundle.waits();
+            if (s.bundle.link != null) {
+                s.bundle.link.unanswered(s);
+            }
+            over(s, waits ? Outcome.NOT_SENT : Outcome.NO_ANSWER, true);
+        }
+    }
+
+    /** The one outcome of a part call; one that is given up is taken off its node, where that is allowed. */
+    void over(Sent s, Outcome how, boolean giveUp) {
+        s.over = true;
+        loop.takeBack(s.limit);
+        s.limit = null;
+        if (s.bundle.link != null) {
+            s.bundle.link.over(s, giveUp && mayCancel);
+        } else {
+            s.bundle.open--;
+        }
+        turn.outcome(s, how, -1);
+    }
+
+    // ---- Links. ----
+
+    /** A link with no call out is closed before its node's machine does it. */
+    Loop.Timer idle(NodeLink l) {
+        if (l.isSilent() || l.target().node.state == DataNode.State.GONE) {
+            loop.ready(() -> endUnused(l, l.isSilent() ? Ending.SILENT : Ending.GONE));
+            return null;
+        }
+        return loop.at(l.usedAt() + idleUs, () -> endUnused(l, Ending.IDLE));
+    }
+
+    private static void endUnused(NodeLink l, Ending how) {
+        if (l.calls() == 0) {
+            l.end(how);
+        }
+    }
+
+    void closed(NodeLink l) {
+        l.target().links.remove(l);
+        descriptors.nodeClosed();
+        forgetIfGone(l.target());
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/QueryReader.java
@@ -0,0 +1,74 @@
+package tinlink.router;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tinlink.decision.Index;
+import tinlink.net.BadMessage;
+import tinlink.net.JsonReader;
+
+/** Makes a query from the head and the body of a client's request, or says what is wrong with them. */
+final class QueryReader {
+    private final Map<String, Index> indexes;
+    private final int shards;
+
+    QueryReader(Map<String, Index> indexes, int shards) {
+        this.indexes = indexes;
+        this.shards = shards;
+    }
+
+    Query read(Map<String, String> fields, JsonReader body, Client client, long now) throws BadMessage {
+        String callId = matching(fields, "x-call-id", "[A-Za-z0-9_-]{1,64}");
+        Index index = indexes.get(fields.getOrDefault("x-call-class", ""));
+        if (index == null) {
+            throw new BadMessage(400, "X-Call-Class: no such class");
+        }
+        long budgetUs = 1000 * Long.parseLong(matching(fields, "x-budget-ms", "[0-9]{1,9}"));
+        String key = index.effect == Index.Effect.FINGERPRINTED
+                ? matching(fields, "idempotency-key", "[!-+.-~-]{1,128}") : null;
+        if (!(body.value() instanceof Map<?, ?> map)) {
+            throw new BadMessage(400, "the body is no object");
+        }
+        if (!(map.get("text") instanceof String text)) {
+            throw new BadMessage(400, "text: no string");
+        }
+        Query q = new Query(callId, text.getBytes(StandardCharsets.UTF_8), key, client);
+        q.index = index;
+        q.repeat = "1".equals(fields.get("x-again"));
+        q.leavesAt = now + budgetUs;
+        segments(q, map.get("segments"));
+        return q;
+    }
+
+    private static String matching(Map<String, String> fields, String name, String pattern) throws BadMessage {
+        String value = fields.get(name);
+        if (value == null || !value.matches(pattern)) {
+            throw new BadMessage(400, name + (value == null ? ": missing" : ": not of its form"));
+        }
+        return value;
+    }
+
+    private void segments(Query q, Object given) throws BadMessage {
+        if (!(given instanceof List<?> list) || list.isEmpty()) {
+            throw new BadMessage(400, "segments: no list, or an empty one");
+        }
+        Set<Integer> seen = new HashSet<>();
+        for (Object one : list) {
+            if (!(one instanceof Map<?, ?> map)) {
+                throw new BadMessage(400, "segments: an entry is no object");
+            }
+            if (!(map.get("segment") instanceof Double shard) || shard != Math.rint(shard) || shard < 0
+                    || shard >= shards || !seen.add(shard.intValue())) {
+                throw new BadMessage(400, "segment: no such shard, or twice");
+            }
+            if (!(map.get("boost") instanceof Double boost) || !(boost > 0) || boost > 1e9) {
+                throw new BadMessage(400, "boost: no share");
+            }
+            q.parts.add(new Segment(q, shard.intValue(), boost));
+        }
+        q.announced = q.parts.size();
+    }
+
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/Roster.java
@@ -0,0 +1,297 @@
+package tinlink.router;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.decision.Aggregator;
+import tinlink.decision.DataNode;
+import tinlink.net.BadMessage;
+import tinlink.net.Ending;
+import tinlink.net.HttpReader;
+import tinlink.net.JsonReader;
+import tinlink.net.Link;
+import tinlink.net.Loop;
+import tinlink.net.Network;
+import tinlink.net.Protocol;
+import tinlink.net.Ring;
+import tinlink.start.RouterStart;
+
+/** The list of data nodes: what was known at the start, and the watch on discovery that keeps it up. */
+final class Roster {
+    private static final Logger LOG = Logger.getLogger("tinlink.roster");
+    private static final int SILENT_LINES = 3;
+
+    private final Loop loop;
+    private final Network network;
+    private final ModuleTurn turn;
+    private final PartSends sends;
+    private final InetSocketAddress discovery;
+    private final boolean pushed;
+    private final SplittableRandom random;
+    private final Numbers zones;
+    private final Numbers kinds;
+    /** By uid; a node leaves when it is told as gone. */
+    private final Map<String, DataNode> nodes = new HashMap<>();
+    private long nodesSeen;
+    private long revision;
+    private Watch watch;
+    private long waitUs = Protocol.WATCH_LINE_US / 16;
+
+    /** Names as numbers: those of the settings first, others as they come. There are few. */
+    private static final class Numbers {
+        private final List<String> names;
+
+        Numbers(List<String> names) {
+            this.names = new ArrayList<>(names);
+        }
+
+        int of(String name) {
+            String plain = name.replaceAll("[ ,]", "_");
+            if (!names.contains(plain)) {
+                names.add(plain);
+            }
+            return names.indexOf(plain);
+        }
+    }
+
+    Roster(Loop loop, Network network, ModuleTurn turn, PartSends sends, InetSocketAddress discovery,
+           boolean pushed, long seed, List<String> zones, List<String> kinds) {
+        this.loop = loop;
+        this.network = network;
+        this.turn = turn;
+        this.sends = sends;
+        this.discovery = discovery;
+        this.pushed = pushed;
+        random = new SplittableRandom(seed);
+        this.zones = new Numbers(zones);
+        this.kinds = new Numbers(kinds);
+    }
+
+    int size() {
+        return nodes.size();
+    }
+
+    /** The list as the router had it before it started; it may be old. */
+    void known(Map<?, ?> list) {
+        if (!list.isEmpty()) {
+            news(list, Aggregator.News.CACHED);
+        }
+    }
+
+    // ---- News. ----
+
+    /** One object of discovery's. What of it can't be used is left out and said; the list held stays. */
+    private void news(Object object, Aggregator.News whole) {
+        if (!(object instanceof Map<?, ?> map) || !(map.get("targets") instanceof List<?> targets)) {
+            LOG.warning("discovery: 'targets' is no list");
+            return;
+        }
+        boolean all = whole == Aggregator.News.CACHED || Boolean.TRUE.equals(map.get("all"));
+        if (map.get("rev") instanceof Double rev) {
+            revision = rev.longValue();
+        }
+        Set<String> named = new HashSet<>();
+        List<Runnable> entries = new ArrayList<>();
+        for (Object entry : targets) {
+            if (entry instanceof Map<?, ?> fields && fields.get("uid") instanceof String uid) {
+                named.add(uid);
+                entries.add(() -> entry(uid, fields));
+            } else {
+                LOG.warning("discovery: 'uid' is missing in an entry");
+            }
+        }
+        if (all) {
+            for (String uid : nodes.keySet().stream().filter(u -> !named.contains(u)).sorted().toList()) {
+                gone(uid);
+            }
+        }
+        entries.forEach(Runnable::run);
+        turn.input(m -> m.nodes(all ? whole : Aggregator.News.CHANGES));
+        LOG.log(Level.INFO, "list {0}: {1} told, {2} nodes",
+                new Object[] {String.valueOf(revision), targets.size(), nodes.size()});
+    }
+
+    private void gone(String uid) {
+        DataNode n = nodes.remove(uid);
+        if (n != null) {
+            n.state = DataNode.State.GONE;
+            turn.input(m -> m.listed(n, false));
+            sends.changed(sends.target(n), false);
+        }
+    }
+
+    private void entry(String uid, Map<?, ?> fields) {
+        String state = String.valueOf(fields.get("state"));
+        if (state.equals("terminated")) {
+            gone(uid);
+            return;
+        }
+        InetSocketAddress address;
+        try {
+            address = RouterStart.address(String.valueOf(fields.get("endpoint")));
+        } catch (IllegalArgumentException e) {
+            LOG.warning("discovery: 'endpoint' of " + uid + " is no address: " + fields.get("endpoint"));
+            return;
+        }
+        if (!(fields.get("pod_group") instanceof Double cell)) {
+            LOG.warning("discovery: 'pod_group' of " + uid + " is no number");
+            return;
+        }
+        boolean ready = state.equals("in_service");
+        if (!ready && !state.equals("terminating")) {
+            LOG.warning("discovery: 'state' of " + uid + " is not known, nothing new goes there: " + state);
+        }
+        DataNode held = nodes.get(uid);
+        DataNode n = held == null ? new DataNode(nodesSeen++) : held;
+        long startedAt = fields.get("boot_ms") instanceof Double ms && ms > 0
+                ? Math.round(1000 * ms) : Long.MIN_VALUE;
+        boolean restarted = held != null && n.startedAt != startedAt;
+        n.state = ready ? DataNode.State.READY : DataNode.State.DRAINING;
+        n.zone = zones.of(String.valueOf(fields.get("az")));
+        n.kind = kinds.of(String.valueOf(fields.get("model")));
+        n.cell = cell.intValue();
+        n.size = fields.get("capacity_hint") instanceof Double size && size > 0 ? size : 1;
+        n.startedAt = startedAt;
+        nodes.put(uid, n);
+        Target t = sends.target(n);
+        boolean moved = t.address != null && !t.address.equals(address);
+        t.address = address;
+        turn.input(m -> m.listed(n, restarted));
+        sends.changed(t, moved || restarted);
+    }
+
+    // ---- The watch. ----
+
+    /** Opens the watch, if none is open. */
+    void follow() {
+        if (watch == null) {
+            Watch w = new Watch();
+            watch = w;
+            try {
+                w.link = network.connect(discovery, w);
+                w.expectLine();
+            } catch (IOException | RuntimeException e) {
+                LOG.log(Level.WARNING, "discovery: no connection", e);
+                lost(w, null);
+            }
+        }
+    }
+
+    /** Danger: routers that all come back at once; each waits a time of its own, longer each time. */
+    private void lost(Watch w, Ending how) {
+        if (watch != w) {
+            return;
+        }
+        watch = null;
+        loop.takeBack(w.silence);
+        long us = waitUs / 2 + random.nextLong(waitUs);
+        waitUs = Math.min(2 * waitUs, 2 * Protocol.WATCH_LINE_US);
+        LOG.log(Level.WARNING, "discovery: the watch ended ({0}), the list of {1} nodes is kept",
+                new Object[] {how, nodes.size()});
+        turn.input(m -> m.nodes(Aggregator.News.FAILED));
+        if (pushed) {
+            loop.at(loop.now() + us, this::follow);
+        }
+    }
+
+    /** One watch: a chunked answer, in it a JSON object a line. */
+    private final class Watch implements Link.Owner, HttpReader.Sink {
+        private final HttpReader reader = HttpReader.ofAnswers(this);
+        private JsonReader line = new JsonReader();
+        private boolean bad;
+        private Link link;
+        private Loop.Timer silence;
+
+        private void expectLine() {
+            loop.takeBack(silence);
+            silence = loop.at(loop.now() + SILENT_LINES * Protocol.WATCH_LINE_US, () -> link.end(Ending.SILENT));
+        }
+
+        @Override
+        public void up() {
+            link.out().put("GET /api/targets?watch=1&after=" + revision + " HTTP/1.1\r\nHost: "
+                    + discovery.getHostString() + "\r\n\r\n");
+            link.later();
+        }
+
+        @Override
+        public void arrived(Ring in) {
+            expectLine();
+            try {
+                while (in.size() > 0) {
+                    reader.read(in);
+                }
+            } catch (BadMessage e) {
+                LOG.warning("discovery: " + e.getMessage());
+                link.end(Ending.BAD_INPUT);
+            }
+        }
+
+        @Override
+        public void first(String one, String status, String words) throws BadMessage {
+            if (!status.equals("200")) {
+                throw new BadMessage(502, "the watch was answered with " + status);
+            }
+        }
+
+        @Override
+        public void field(String name, String value) {
+            // None matters here beyond what the reader itself heeds.
+        }
+
+        @Override
+        public void headOver() {
+            waitUs = Protocol.WATCH_LINE_US / 16;
+        }
+
+        @Override
+        public void body(ByteBuffer piece) {
+            while (piece.hasRemaining()) {
+                byte b = piece.get();
+                if (b == '\n') {
+                    lineOver();
+                } else if (!bad) {
+                    try {
+                        line.read(b);
+                    } catch (BadMessage e) {
+                        bad = true;
+                        LOG.warning("discovery: a line is left out: " + e.getMessage());
+                    }
+                }
+            }
+        }
+
+        private void lineOver() {
+            JsonReader whole = line;
+            boolean use = !bad && !whole.empty();
+            line = new JsonReader();
+            bad = false;
+            if (use) {
+                try {
+                    news(whole.value(), Aggregator.News.FULL);
+                } catch (BadMessage e) {
+                    LOG.warning("discovery: a line is left out: " + e.getMessage());
+                }
+            }
+        }
+
+        @Override
+        public void over() throws BadMessage {
+            throw new BadMessage(502, "the watch was ended");
+        }
+
+        @Override
+        public void ended(Ending how) {
+            lost(this, how);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/Router.java
@@ -0,0 +1,92 @@
+package tinlink.router;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.decision.Index;
+import tinlink.net.Loop;
+import tinlink.net.Network;
+import tinlink.start.RouterStart;
+
+/** One query router: built from its start, then run until it is told to stop. */
+public final class Router {
+    private static final Logger LOG = Logger.getLogger("tinlink.router");
+    /** After a SIGTERM new connections go on coming for up to 0.4 s. */
+    private static final long CLIENTS_COME_US = 500_000;
+    /** What comes later than this after a SIGTERM must not be left unanswered. */
+    private static final long LAST_TAKEN_US = 600_000;
+
+    private final Loop loop = new Loop();
+    private final Network network;
+    private final ModuleTurn turn;
+    private final Intake intake;
+    private final Roster roster;
+    private final RouterStart start;
+    private final CountDownLatch over = new CountDownLatch(1);
+    private long longestUs;
+
+    public Router(RouterStart start) throws IOException {
+        this.start = start;
+        network = new Network(loop);
+        turn = new ModuleTurn(loop, start.built.module);
+        Descriptors descriptors = new Descriptors(start.descriptors);
+        PartSends sends = new PartSends(loop, network, descriptors, turn, start.connectUs, start.idleUs,
+                start.callsPerLink, start.mayCancel);
+        Map<String, Index> indexes = new LinkedHashMap<>();
+        for (int i = 0; i < start.indexNames.size(); i++) {
+            indexes.put(start.indexNames.get(i), start.built.indexes[i]);
+            longestUs = Math.max(longestUs, start.built.indexes[i].hardUs);
+        }
+        intake = new Intake(loop, network, descriptors, new QueryReader(indexes, start.shards), turn,
+                start.openCap, start.connectUs);
+        roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed, start.zones,
+                start.kinds);
+        sends.serves(intake);
+        turn.serves(sends, roster::follow);
+    }
+
+    /** Serves until it is told to stop. */
+    public void run() throws IOException {
+        try {
+            turn.begins(loop.now());
+            roster.known(start.known);
+            network.listen(start.listen);
+            if (start.pushed) {
+                roster.follow();
+            }
+            network.accept(intake);
+            LOG.log(Level.INFO, "{0} serves at {1} with {2} data nodes",
+                    new Object[] {start.name, String.valueOf(network.address()), roster.size()});
+            loop.run(turn);
+            LOG.log(Level.INFO, "{0} has stopped, {1} lookups and parts in hand",
+                    new Object[] {start.name, turn.open()});
+        } finally {
+            over.countDown();
+        }
+    }
+
+    /** From another thread: stops in order and returns when that is done. */
+    public void stopAndWait() throws InterruptedException {
+        loop.ready(this::stop);
+        over.await();
+    }
+
+    private void stop() {
+        LOG.log(Level.INFO, "{0} stops, {1} lookups and parts in hand", new Object[] {start.name, turn.open()});
+        intake.stopping(true);
+        loop.at(loop.now() + CLIENTS_COME_US, intake::closeDoor);
+        long last = loop.now() + LAST_TAKEN_US + longestUs;
+        loop.at(loop.now() + LAST_TAKEN_US, () -> endWhenEmpty(last));
+    }
+
+    private void endWhenEmpty(long last) {
+        if (intake.isEmpty() || loop.now() >= last) {
+            loop.end();
+        } else {
+            loop.at(loop.now() + start.connectUs / 8, () -> endWhenEmpty(last));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/router/Segment.java
@@ -0,0 +1,24 @@
+package tinlink.router;
+
+import java.util.ArrayList;
+import java.util.List;
+import tinlink.decision.Part;
+
+/** A part of a query, its part calls on the network, and its value once that is in. */
+final class Segment extends Part {
+    final String id;
+    /** By the number of the part call. */
+    final List<Sent> sent = new ArrayList<>();
+    String value;
+
+    Segment(Query q, int shard, double weight) {
+        lookup = q;
+        this.shard = shard;
+        this.weight = weight;
+        id = q.callId + "." + shard;
+    }
+
+    Query query() {
+        return (Query) lookup;
+    }
+}
