Test the router on loopback with stand-ins, the parsers cut at every byte, and bad configuration

Three notations join the module's: .msg plays a parser whole, byte by byte and cut at every byte; .net plays a router on real sockets against stand-ins; .cfg says what a bad configuration is answered with.

Found by them and mended: JSON read "[1,]" as a word that ends too soon instead of naming the bracket; at the limit of descriptors an idle client connection was closed although nobody waited at the door.

--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -40,7 +40,7 @@
             log.addHandler(console);
             log.setUseParentHandlers(false);
             log.setLevel(start.logLevel);
-            Router router = new Router(start);
+            Router router = new Router(start, start.built.module);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     router.stopAndWait();
--- a/src/main/java/tinlink/net/JsonReader.java
+++ b/src/main/java/tinlink/net/JsonReader.java
@@ -76,7 +76,7 @@
         } else if (b == '"' && at != At.COLON && at != At.COMMA_OR_END && at != At.DONE) {
             name = at == At.NAME || at == At.NAME_OR_END;
             at = At.STRING;
-        } else if (at == At.VALUE || at == At.VALUE_OR_END) {
+        } else if ((at == At.VALUE || at == At.VALUE_OR_END) && ",:]}".indexOf(b) < 0) {
             if (b == '{' || b == '[') {
                 if (open.size() == MOST_DEPTH) {
                     throw new BadMessage("JSON: too deep");
--- a/src/main/java/tinlink/net/Network.java
+++ b/src/main/java/tinlink/net/Network.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.concurrent.AbstractExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /** Opens links on the loop: the channels' group, the pooled rings, and the door for clients. */
 public final class Network {
@@ -64,6 +66,7 @@
         void acceptFailed(Throwable why);
     }
 
+    private static final Logger LOG = Logger.getLogger("tinlink.net");
     private final Loop loop;
     private final Rings rings = new Rings();
     private final AsynchronousChannelGroup group;
@@ -120,11 +123,18 @@
 
     public void stopAccepting() {
         try {
-            if (server != null) {
-                server.close();
-            }
+            server.close();
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "the listening socket did not close", e);
+        }
+    }
+
+    /** Closes all that is open. */
+    public void close() {
+        try {
+            group.shutdownNow();
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            LOG.log(Level.WARNING, "a connection did not close", e);
         }
     }
 }
--- a/src/main/java/tinlink/router/Descriptors.java
+++ b/src/main/java/tinlink/router/Descriptors.java
@@ -15,8 +15,9 @@
         forNodes = limit - limit / 8;
     }
 
+    /** One more may come to the door, which shows that somebody wants in; then an idle one gives way to it. */
     boolean hasForClient() {
-        return clients < forClients;
+        return clients <= forClients;
     }
 
     boolean hasForNode() {
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -53,13 +53,20 @@
         Client c = (Client) owner;
         c.on(link);
         clients.add(c);
+        makeRoom();
         idle.add(c);
     }
 
+    private void makeRoom() {
+        if (!descriptors.hasForClient()) {
+            closeIdle();
+        }
+    }
+
     /** Danger: accepting without a descriptor to spare fails again at once, and spins. */
     @Override
     public boolean mayOpen() {
-        return descriptors.hasForClient() || closeIdle();
+        return descriptors.hasForClient();
     }
 
     @Override
@@ -86,9 +93,7 @@
     void idle(Client c) {
         if (clients.contains(c)) {
             idle.add(c);
-            if (!descriptors.hasForClient()) {
-                loop.ready(() -> network.accept(this)); // It may give way to one that waits at the door.
-            }
+            loop.ready(this::makeRoom);
         }
     }
 
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -1,11 +1,13 @@
 package tinlink.router;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import tinlink.decision.Aggregator;
 import tinlink.decision.Index;
 import tinlink.net.Loop;
 import tinlink.net.Network;
@@ -25,13 +27,15 @@
     private final Intake intake;
     private final Roster roster;
     private final RouterStart start;
+    private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch over = new CountDownLatch(1);
     private long longestUs;
 
-    public Router(RouterStart start) throws IOException {
+    /** @param module what decides; another than the built one only to see how the router bears it */
+    public Router(RouterStart start, Aggregator module) throws IOException {
         this.start = start;
         network = new Network(loop);
-        turn = new ModuleTurn(loop, start.built.module);
+        turn = new ModuleTurn(loop, module);
         Descriptors descriptors = new Descriptors(start.descriptors);
         PartSends sends = new PartSends(loop, network, descriptors, turn, start.connectUs, start.idleUs,
                 start.callsPerLink, start.mayCancel);
@@ -58,16 +62,32 @@
                 roster.follow();
             }
             network.accept(intake);
+            listening.countDown();
             LOG.log(Level.INFO, "{0} serves at {1} with {2} data nodes",
                     new Object[] {start.name, String.valueOf(network.address()), roster.size()});
             loop.run(turn);
             LOG.log(Level.INFO, "{0} has stopped, {1} lookups and parts in hand",
                     new Object[] {start.name, turn.open()});
         } finally {
+            network.close();
             over.countDown();
         }
     }
 
+    /** From another thread: returns once clients can connect. */
+    public void awaitListening() throws InterruptedException {
+        listening.await();
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return network.address();
+    }
+
+    /** From another thread: ends at once, whatever is in hand. */
+    public void end() {
+        loop.ready(loop::end);
+    }
+
     /** From another thread: stops in order and returns when that is done. */
     public void stopAndWait() throws InterruptedException {
         loop.ready(this::stop);
--- /dev/null
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -0,0 +1,505 @@
+package tinlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import tinlink.decision.Aggregator;
+import tinlink.decision.DataNode;
+import tinlink.decision.Host;
+import tinlink.decision.Lookup;
+import tinlink.decision.Outcome;
+import tinlink.decision.Part;
+import tinlink.decision.PartCall;
+import tinlink.router.Router;
+import tinlink.start.RouterStart;
+
+/**
+ * Plays one scenario against a router on loopback sockets, with stand-ins of its own for clients, data nodes and
+ * discovery; docs/scenarios.md has the notation. A stand-in does what its line says and nothing else.
+ */
+final class RouterPlayer implements AutoCloseable {
+    private static final int PATIENCE_MS = 10_000;
+    private static final int QUIET_MS = 60;
+    private final Path dir;
+    private final Map<String, String> settings = new LinkedHashMap<>();
+    private final Map<String, StandIn> standIns = new LinkedHashMap<>();
+    private final Map<String, Client> clients = new HashMap<>();
+    private final StandIn discovery = new StandIn("disc", 0);
+    private Router router;
+    private Thread serving;
+    private Thread stopping;
+    private boolean faulty;
+
+    RouterPlayer(Path dir) throws IOException {
+        this.dir = dir;
+        String[] usual = {"sockets", "256", "familyInfo.sets", "12", "familyInfo.reach", "2", "familyInfo.slabs", "12",
+            "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
+            "familyInfo.minShare", "[0.5,1,1,1]", "limits.connectTimeoutMs", "2000", "limits.connIdleMs", "30000",
+            "limits.streamsPerConn", "8", "limits.tryLimit", "3", "limits.openCap", "40", "limits.cancel", "true",
+            "limits.secondCopies", "true", "limits.retryAfter", "true", "limits.maxRetryAfterMs", "2000"};
+        for (int i = 0; i < usual.length; i += 2) {
+            settings.put(usual[i], usual[i + 1]);
+        }
+    }
+
+    void play(List<String> script) throws Exception {
+        int no = 0;
+        for (String raw : script) {
+            no++;
+            String line = raw.replaceAll("(^|\\s)#\\s.*", "").trim();
+            try {
+                for (String one : line.isEmpty() ? new String[0] : line.split(";;\\s*")) {
+                    line(one.trim());
+                }
+            } catch (Exception | AssertionError e) {
+                throw new AssertionError("line " + no + ": " + raw.trim() + "\n  " + e.getMessage(), e);
+            }
+        }
+    }
+
+    private void line(String line) throws Exception {
+        String[] w = line.split(" ", 3);
+        String rest = w.length > 2 ? w[2] : "";
+        switch (w[0]) {
+            case "set" -> settings.put(w[1], rest);
+            case "faulty" -> faulty = true;
+            case "node" -> {
+                StandIn s = new StandIn(w[1], Integer.parseInt(rest.split(" ")[0]));
+                standIns.put(w[1], s);
+                if (rest.endsWith(" full")) {
+                    s.fill();
+                } else {
+                    s.accept();
+                }
+            }
+            case "start" -> {
+                discovery.accept();
+                start();
+            }
+            case "crowd" -> {
+                for (int i = 0; i < Integer.parseInt(w[1]); i++) {
+                    clients.computeIfAbsent("crowd" + i, n -> new Client()).connect();
+                }
+            }
+            case "stop" -> {
+                stopping = new Thread(() -> {
+                    try {
+                        router.stopAndWait();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                stopping.start();
+            }
+            case "stopped" -> {
+                stopping.join(PATIENCE_MS);
+                assertEquals(false, stopping.isAlive(), "still stopping");
+            }
+            case "wait" -> Thread.sleep(Integer.parseInt(w[1]));
+            case "disc" -> discovery.line(w[1], rest);
+            default -> {
+                if (standIns.containsKey(w[0])) {
+                    standIns.get(w[0]).line(w[1], rest);
+                } else {
+                    clients.computeIfAbsent(w[0], n -> new Client()).line(w[1], rest);
+                }
+            }
+        }
+    }
+
+    // ---- The router under test. ----
+
+    private void start() throws Exception {
+        String known = standIns.values().stream().map(StandIn::entry).collect(Collectors.joining(","));
+        Path config = dir.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+                + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
+                + settings.get("sockets") + "},\"known\":{\"rev\":41,\"all\":true,\"targets\":[" + known
+                + "]},\"settings\":{\"stepMs\":5,\"zone\":0,\"localities\":[\"east\",\"west\"],"
+                + "\"models\":[\"m\"],\"familyInfo\":{" + group("familyInfo.") + "},\"limits\":{" + group("limits.")
+                + "},\"profiles\":["
+                + profile("any", "pure") + "," + profile("all", "pure") + "," + profile("pay", "token") + "," + profile("once", "side_effect") + "]"
+                + "}}");
+        RouterStart from = new RouterStart(Map.of("NODE_CONFIG", config.toString(), "NODE_LOG", "OFF"));
+        router = new Router(from, faulty ? new Faulty(from.built.module) : from.built.module);
+        serving = new Thread(() -> {
+            try {
+                router.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        serving.start();
+        router.awaitListening();
+    }
+
+    private String group(String prefix) {
+        return settings.entrySet().stream().filter(e -> e.getKey().startsWith(prefix))
+                .map(e -> "\"" + e.getKey().substring(prefix.length()) + "\":" + e.getValue())
+                .collect(Collectors.joining(","));
+    }
+
+    private static String profile(String name, String effect) {
+        return "{\"name\":\"" + name + "\",\"effect\":\"" + effect
+                + "\",\"deadlineMs\":8000,\"onTimeMs\":3000,\"windowMs\":8000,\"worth\":1}";
+    }
+
+    /** A module with a fault that comes back at every pull while a lookup on shard 11 is in hand. */
+    private record Faulty(Aggregator module, List<Lookup> poison) implements Aggregator {
+        Faulty(Aggregator module) {
+            this(module, new ArrayList<>());
+        }
+
+        @Override
+        public void clock(long nowUs) {
+            module.clock(nowUs);
+        }
+
+        @Override
+        public void lookup(Lookup lk) {
+            module.lookup(lk);
+        }
+
+        @Override
+        public void part(Part p) {
+            module.part(p);
+            if (p.shard == 11) {
+                poison.add(p.lookup);
+            }
+        }
+
+        @Override
+        public void outcome(PartCall call, Outcome how, long tookUs, long reportedLatencyUs) {
+            module.outcome(call, how, tookUs, reportedLatencyUs);
+        }
+
+        @Override
+        public void listed(DataNode node, boolean restarted) {
+            module.listed(node, restarted);
+        }
+
+        @Override
+        public void nodes(News news) {
+            module.nodes(news);
+        }
+
+        @Override
+        public void probed(DataNode node, Outcome how, long tookUs, long reportedLatencyUs) {
+            module.probed(node, how, tookUs, reportedLatencyUs);
+        }
+
+        @Override
+        public void timer() {
+            module.timer();
+        }
+
+        @Override
+        public void clientGone(Lookup lk) {
+            module.clientGone(lk);
+            poison.remove(lk);
+        }
+
+        @Override
+        public boolean decide(Host host) {
+            if (!poison.isEmpty()) {
+                throw new IllegalStateException("a fault for the test");
+            }
+            return module.decide(host);
+        }
+    }
+
+    // ---- A data node or discovery. ----
+
+    private final class StandIn {
+        private final String name;
+        private final int cell;
+        private ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final int port = server.getLocalPort();
+        private final List<Socket> links = new CopyOnWriteArrayList<>();
+        private final List<Socket> filling = new ArrayList<>();
+        private final LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        /** Where the newest part call of an id came in. */
+        private final Map<String, Socket> from = new ConcurrentHashMap<>();
+
+        StandIn(String name, int cell) throws IOException {
+            this.name = name;
+            this.cell = cell;
+        }
+
+        /** Connections from now on stay coming up, until it accepts: the kernel's short queue is full. */
+        void fill() throws IOException {
+            server.close();
+            server = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+            for (int i = 0; i < 2; i++) {
+                filling.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            }
+        }
+
+        void accept() {
+            Thread t = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket s = server.accept();
+                        if (filling.stream().anyMatch(f -> f.getLocalPort() == s.getPort())) {
+                            continue;
+                        }
+                        links.add(s);
+                        Thread r = new Thread(() -> listen(s));
+                        r.setDaemon(true);
+                        r.start();
+                    }
+                } catch (IOException e) {
+                    // The scenario has closed it.
+                }
+            });
+            t.setDaemon(true);
+            t.start();
+        }
+
+        int port() {
+            return port;
+        }
+
+        String entry() {
+            return entry("in_service", 0);
+        }
+
+        private String entry(String state, long bootMs) {
+            return "{\"uid\":\"" + name + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"east\",\"model\":"
+                    + "\"m\",\"pod_group\":" + cell + ",\"state\":\"" + state + "\",\"boot_ms\":" + bootMs + "}";
+        }
+
+        private void listen(Socket s) {
+            try {
+                InputStream in = s.getInputStream();
+                if (cell == 0 && name.equals("disc")) {
+                    heard.add(head(in).split(" ")[1]);
+                    s.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                            .getBytes(StandardCharsets.UTF_8));
+                    in.read();
+                } else {
+                    for (DataInputStream d = new DataInputStream(in);;) {
+                        byte[] frame = new byte[d.readInt()];
+                        d.readFully(frame);
+                        heard.add(told(s, new String(frame, StandardCharsets.UTF_8)));
+                    }
+                }
+                heard.add("closed");
+            } catch (IOException e) {
+                heard.add("closed");
+            }
+        }
+
+        /** A frame as the script says it: letter, then id, shard, key and text of each part. */
+        private String told(Socket s, String frame) {
+            if (frame.charAt(0) != 'R') {
+                return frame.charAt(0) + " " + frame.substring(1);
+            }
+            List<String> parts = new ArrayList<>();
+            for (int at = 1; at < frame.length();) {
+                int lf = frame.indexOf('\n', at);
+                String[] w = frame.substring(at, lf).split(" ");
+                at = lf + 1 + Integer.parseInt(w[3]);
+                from.put(w[0], s);
+                parts.add(w[0] + " " + w[1] + w[2].replaceAll("^d=[1-9][0-9]*", "").replace(",", " ")
+                        + " " + frame.substring(lf + 1, at));
+            }
+            return "R " + String.join(" + ", parts);
+        }
+
+        void line(String what, String rest) throws Exception {
+            switch (what) {
+                case "<" -> {
+                    String next = heard.poll(rest.equals("nothing") ? QUIET_MS : PATIENCE_MS,
+                            TimeUnit.MILLISECONDS);
+                    assertEquals(rest.equals("nothing") ? null : rest, next);
+                }
+                case ">" -> says(rest.split(" ", 3));
+                case "tells" -> { // NODE STATE [BOOT]: one change of the list, cut into small chunks
+                    String[] w = rest.split(" ");
+                    String entry = standIns.get(w[0]).entry(w[1], w.length > 2 ? Long.parseLong(w[2]) : 0);
+                    chunks("{\"rev\":50,\"all\":false,\"targets\":[" + entry + "]}\n");
+                }
+                case "says" -> chunks(rest + "\n");
+                case "links" -> assertEquals(Integer.parseInt(rest), links.size(), "links in all");
+                case "refuses" -> server.close();
+                case "accepts" -> accept();
+                default -> throw new IllegalArgumentException(what);
+            }
+        }
+
+        private void chunks(String text) throws IOException {
+            for (int at = 0; at < text.length(); at += 7) {
+                String piece = text.substring(at, Math.min(at + 7, text.length()));
+                newest().getOutputStream().write((Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n")
+                        .getBytes(StandardCharsets.UTF_8));
+            }
+        }
+
+        private Socket newest() {
+            return links.get(links.size() - 1);
+        }
+
+        private void says(String[] w) throws IOException {
+            switch (w[0]) {
+                case "OK", "ERROR", "REJECTED" -> frame(from.get(w[1]), "Y" + w[1] + " " + w[0] + " 7 -\n"
+                        + (w.length > 2 ? w[2] : ""));
+                case "N" -> frame(newest(), "N" + String.join(" ", w).substring(1));
+                case "frame" -> frame(newest(), String.join(" ", w).substring(6));
+                case "end" -> newest().close();
+                case "reset" -> {
+                    newest().setSoLinger(true, 0);
+                    newest().close();
+                }
+                default -> throw new IllegalArgumentException(w[0]);
+            }
+        }
+
+        private static void frame(Socket to, String rest) throws IOException {
+            byte[] bytes = rest.getBytes(StandardCharsets.UTF_8);
+            to.getOutputStream().write(ByteBuffer.allocate(4 + bytes.length).putInt(bytes.length).put(bytes)
+                    .array());
+        }
+
+        void close() throws IOException {
+            server.close();
+            for (Socket s : links) {
+                s.close();
+            }
+            for (Socket s : filling) {
+                s.close();
+            }
+        }
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                throw new EOFException(head.toString());
+            }
+            head.append((char) b);
+        }
+        return head.toString();
+    }
+
+    // ---- A client. ----
+
+    private final class Client {
+        private Socket socket;
+
+        void connect() throws IOException {
+            if (socket == null) {
+                socket = new Socket(InetAddress.getLoopbackAddress(), router.address().getPort());
+                socket.setSoTimeout(PATIENCE_MS);
+            }
+        }
+
+        void line(String what, String rest) throws Exception {
+            connect();
+            switch (what) {
+                case "asks" -> write(request(rest.split(" ")));
+                case ">" -> write(rest.replace("\\r", "\r").replace("\\n", "\n"));
+                case "slowly" -> {
+                    for (byte b : request(rest.split(" ")).getBytes(StandardCharsets.UTF_8)) {
+                        socket.getOutputStream().write(b);
+                    }
+                }
+                case "<" -> assertEquals(rest, rest.equals("end") ? end()
+                        : rest.equals("nothing") ? quiet() : answer());
+                case "leaves" -> socket.close();
+                default -> throw new IllegalArgumentException(what);
+            }
+        }
+
+        private void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** ID CLASS BUDGET SHARDS [KEY] */
+        private String request(String[] w) {
+            String segments = Arrays.stream(w[3].split(","))
+                    .map(s -> "{\"segment\":" + s + ",\"boost\":" + 1.0 / w[3].split(",").length + "}")
+                    .collect(Collectors.joining(","));
+            String body = "{\"segments\":[" + segments + "],\"text\":\"t" + w[0] + "\"}";
+            return "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + w[0] + "\r\nX-Call-Class: " + w[1]
+                    + "\r\nX-Budget-Ms: " + w[2] + "\r\n" + (w.length > 4 ? "Idempotency-Key: " + w[4] + "\r\n" : "") + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        }
+
+        /** Status, "close" and "again" where the head says so, and the body of a 200. */
+        private String answer() throws IOException {
+            InputStream in = socket.getInputStream();
+            String head = head(in).toLowerCase(Locale.ROOT);
+            if (head.startsWith("http/1.1 100 ")) {
+                return "100";
+            }
+            int at = head.indexOf("content-length: ") + 16;
+            String body = new String(in.readNBytes(Integer.parseInt(head.substring(at, head.indexOf('\r', at)))),
+                    StandardCharsets.UTF_8).strip();
+            String status = head.split(" ")[1];
+            return status + (head.contains("connection: close") ? " close" : "")
+                    + (head.contains("retry-after: ") ? " again" : "") + (status.equals("200") ? " " + body : "");
+        }
+
+        private String end() throws IOException {
+            try {
+                return socket.getInputStream().read() < 0 ? "end" : "a byte";
+            } catch (SocketException e) {
+                return "reset";
+            }
+        }
+
+        private String quiet() throws IOException {
+            socket.setSoTimeout(QUIET_MS);
+            try {
+                return socket.getInputStream().read() < 0 ? "end" : "a byte";
+            } catch (SocketTimeoutException e) {
+                return "nothing";
+            } finally {
+                socket.setSoTimeout(PATIENCE_MS);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (router != null) {
+            router.end();
+            serving.join(PATIENCE_MS);
+        }
+        discovery.close();
+        for (StandIn s : standIns.values()) {
+            s.close();
+        }
+        for (Client c : clients.values()) {
+            if (c.socket != null) {
+                c.socket.close();
+            }
+        }
+    }
+}
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -1,6 +1,8 @@
 package tinlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Named.named;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
@@ -12,26 +14,61 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import tinlink.benchlink.BenchLink;
+import tinlink.net.Ending;
+import tinlink.net.ParserPlayer;
+import tinlink.start.BadInput;
+import tinlink.start.RouterStart;
 
 /** Plays every scenario: the module's through {@link Player}, the wire's through the adapter. */
 class ScenarioTest {
+    /** Held, so that its level stays: what routers log of troubles that are played is not for the build's log. */
+    private static final Logger QUIET = Logger.getLogger("tinlink");
     private static final Path DIR = Path.of("src/test/resources/scenarios");
 
+    @BeforeAll
+    static void quiet() {
+        QUIET.setLevel(Level.OFF);
+    }
+
     /** A file may hold several scenarios, each under a line of "== name". */
     static List<Arguments> module() throws IOException {
+        return sections(".scn");
+    }
+
+    static List<Arguments> parsers() throws IOException {
+        return sections(".msg");
+    }
+
+    static List<Arguments> router() throws IOException {
+        return sections(".net");
+    }
+
+    static List<Arguments> config() throws IOException {
+        return sections(".cfg");
+    }
+
+    private static List<Arguments> sections(String ending) throws IOException {
         List<Arguments> all = new ArrayList<>();
-        for (String file : files(".scn")) {
+        for (String file : files(ending)) {
             for (String one : Files.readString(DIR.resolve(file)).split("(?m)^== ")) {
                 if (!one.isBlank()) {
-                    all.add(arguments(named(file + ": " + one.lines().findFirst().orElse(""),
-                            one.lines().skip(1).toList())));
+                    String title = one.lines().findFirst().orElse("");
+                    all.add(arguments(named(file + ": " + title, title), one.lines().skip(1).toList()));
                 }
             }
         }
@@ -50,10 +87,44 @@
 
     @ParameterizedTest(name = "{0}")
     @MethodSource
-    void module(List<String> script) {
+    void module(String title, List<String> script) {
         new Player().play(script);
     }
 
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    void parsers(String title, List<String> script) {
+        ParserPlayer.play(title, script);
+    }
+
+    /** Against real sockets on loopback, with stand-ins; a wait is bounded, no verdict hangs on speed. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    @Timeout(60)
+    void router(String title, List<String> script, @TempDir Path dir) throws Exception {
+        try (RouterPlayer p = new RouterPlayer(dir)) {
+            p.play(script);
+        }
+    }
+
+    /** What a router says of a configuration that it can't use: lines with "> " are its file. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    void config(String title, List<String> script, @TempDir Path dir) throws IOException {
+        Path file = Files.writeString(dir.resolve("c"), pick(script, "> "));
+        BadInput e = assertThrows(BadInput.class, () -> new RouterStart(Map.of("NODE_CONFIG", file.toString())));
+        assertEquals(pick(script, "! "), e.getMessage() + "\n");
+    }
+
+    /** Danger: a part call whose frame has left and that passes for one that never ran. */
+    @ParameterizedTest
+    @EnumSource(Ending.class)
+    void ending(Ending how) {
+        boolean neverUp = EnumSet.of(Ending.REFUSED, Ending.NOT_UP, Ending.NO_SOCKET).contains(how);
+        assertEquals(neverUp, how.outcome(true).neverRan);
+        assertTrue(how.outcome(false).neverRan);
+    }
+
     /** Lines with ">" go in, "<" must come out, "!" must be said on standard error. */
     @ParameterizedTest
     @MethodSource
