Router: settings in small records, what crosses the stop is left unread, bodies being read are bounded

Full bodies from several hundred clients at once could fill the heap; together they may now be a 32nd of it while they are read, and what is over is refused before anything is sent. Half-open watches no longer reset the growing wait.

RouterStart hands out small records.

--- a/src/main/java/tinlink/net/Clock.java
+++ b/src/main/java/tinlink/net/Clock.java
@@ -1,6 +1,6 @@
 package tinlink.net;
 
-/** One clock for the module, the timers and the starts of data nodes: Unix microseconds that never go back. */
+/** One clock for module, timers and starts of data nodes: Unix microseconds that never go back. */
 final class Clock {
     private final long unixUs = 1000 * System.currentTimeMillis();
     private final long nano = System.nanoTime();
--- a/src/main/java/tinlink/net/Ending.java
+++ b/src/main/java/tinlink/net/Ending.java
@@ -43,8 +43,8 @@
             case NO_SOCKET -> Outcome.NOT_SENT;
             case REFUSED, NOT_UP -> Outcome.NO_CONNECTION;
             case PEER_CLOSED, BROKEN, WRITE_FAILED -> left ? Outcome.CONNECTION_LOST : Outcome.NO_CONNECTION;
-            case BAD_INPUT, FRAME_REJECTED -> left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
-            case IDLE, RELEASED, SILENT, GONE, DONE, FAULT -> left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
+            case BAD_INPUT, FRAME_REJECTED, IDLE, RELEASED, SILENT, GONE, DONE, FAULT ->
+                    left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
         };
     }
 }
--- a/src/main/java/tinlink/net/FrameReader.java
+++ b/src/main/java/tinlink/net/FrameReader.java
@@ -8,7 +8,7 @@
 public final class FrameReader {
     /** What hears the frames. */
     public interface Sink {
-        /** The end of one part: OK, ERROR or REJECTED, its report (null where there is none) and its value. */
+        /** The end of one part: OK, ERROR or REJECTED; its report, null where there is none; its value. */
         void ended(String id, String end, String report, String value) throws BadMessage;
 
         /** The frame before could not be used. */
--- a/src/main/java/tinlink/net/JsonReader.java
+++ b/src/main/java/tinlink/net/JsonReader.java
@@ -11,14 +11,16 @@
 import java.util.Map;
 
 /**
- * Reads one JSON value, cut anywhere, into maps, lists, strings, doubles, booleans and null. A name that comes
- * twice in one object is refused, since two readers of it could differ.
+ * Reads one JSON value, cut anywhere, into maps, lists, strings, doubles, booleans and null. A name that
+ * comes twice in one object is refused, since two readers of it could differ.
  */
 public final class JsonReader {
     private static final int MOST_DEPTH = 16;
     private static final Object NONE = new Object();
 
-    private enum At { VALUE, VALUE_OR_END, NAME, NAME_OR_END, COLON, COMMA_OR_END, STRING, ESCAPE, HEX, WORD, DONE }
+    private enum At {
+        VALUE, VALUE_OR_END, NAME, NAME_OR_END, COLON, COMMA_OR_END, STRING, ESCAPE, HEX, WORD, DONE
+    }
 
     private final ArrayDeque<Object> open = new ArrayDeque<>();
     private final ArrayDeque<String> names = new ArrayDeque<>();
@@ -69,9 +71,9 @@
         if (at == At.COLON && b == ':') {
             at = At.VALUE;
         } else if (at == At.COMMA_OR_END && b == ',') {
-            at = open.peek() instanceof Map ? At.NAME : At.VALUE;
-        } else if (b == '}' && (at == At.COMMA_OR_END || at == At.NAME_OR_END) && open.peek() instanceof Map
-                || b == ']' && (at == At.COMMA_OR_END || at == At.VALUE_OR_END) && open.peek() instanceof List) {
+            at = inside(Map.class) ? At.NAME : At.VALUE;
+        } else if (b == '}' && (at == At.NAME_OR_END || at == At.COMMA_OR_END && inside(Map.class))
+                || b == ']' && (at == At.VALUE_OR_END || at == At.COMMA_OR_END && inside(List.class))) {
             done(open.pop());
         } else if (b == '"' && at != At.COLON && at != At.COMMA_OR_END && at != At.DONE) {
             name = at == At.NAME || at == At.NAME_OR_END;
@@ -92,6 +94,10 @@
         }
     }
 
+    private boolean inside(Class<?> kind) {
+        return kind.isInstance(open.peek());
+    }
+
     private void string(byte b) throws BadMessage {
         if (high != 0 && b != '\\') {
             throw new BadMessage("JSON: half a surrogate pair");
@@ -187,7 +193,7 @@
             value = v;
             at = At.DONE;
         } else {
-            if (open.peek() instanceof Map) {
+            if (inside(Map.class)) {
                 ((Map<String, Object>) open.peek()).put(names.pop(), v);
             } else {
                 ((List<Object>) open.peek()).add(v);
--- a/src/main/java/tinlink/net/Loop.java
+++ b/src/main/java/tinlink/net/Loop.java
@@ -15,6 +15,9 @@
 public final class Loop {
     private static final Logger LOG = Logger.getLogger("tinlink.loop");
 
+    /** Said in the log, no more; the module judges its own stalls. */
+    private static final long LATE_US = 100_000;
+
     /** What a turn does before and after what was ready. */
     public interface Turn {
         void begins(long nowUs);
@@ -93,6 +96,10 @@
             guarded(() -> turn.begins(now));
             batch.forEach(Loop::guarded);
             batch.clear();
+            long late = timers.isEmpty() ? 0 : now - timers.first().atUs;
+            if (late > LATE_US) {
+                LOG.log(Level.WARNING, "the loop ran {0} ms late", late / 1000);
+            }
             while (!timers.isEmpty() && timers.first().atUs <= now) {
                 guarded(timers.pollFirst().what);
             }
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -23,6 +24,7 @@
     private String path;
     private boolean keep;
     private JsonReader body;
+    private int bodyBytes;
     /** In hand; a close now means that its client has left. */
     private Query query;
     private boolean lastAnswer;
@@ -35,6 +37,13 @@
         this.link = link;
     }
 
+    /** Danger: a request that crosses the close is lost once read; unread, its client asks elsewhere. */
+    void letGo() {
+        lastAnswer = true;
+        link.halfClose();
+        intake.leave(this);
+    }
+
     /** Nothing is in hand and nothing has been read of a next request. */
     boolean isIdle() {
         return query == null && !lastAnswer && reader.between();
@@ -53,6 +62,7 @@
             }
         } catch (BadMessage e) {
             LOG.log(Level.FINE, "a request is not used: {0}", e.getMessage());
+            bodyRead();
             keep = false;
             answer(Reply.plain(e.status, e.getMessage()));
         } catch (RuntimeException e) {
@@ -67,7 +77,7 @@
             answer(Reply.plain(500, "a fault of the router"));
         }
         while (lastAnswer && in.size() > 0) {
-            in.takeRun(in.size()); // What still comes is not read, so that the answer is not cut off by a reset.
+            in.takeRun(in.size()); // Not read as a request, but taken: a reset would cut off the answer.
         }
         if (isIdle()) {
             intake.idle(this);
@@ -94,7 +104,7 @@
     @Override
     public void headOver() throws BadMessage {
         String connection = fields.getOrDefault("connection", "");
-        keep = keep && !connection.equalsIgnoreCase("close");
+        keep = keep && !connection.toLowerCase(Locale.ROOT).matches("(.*,)?\\s*close\\s*(,.*)?");
         String wants = switch (path) {
             case "/api" -> "POST";
             case "/-/ready" -> "GET";
@@ -115,10 +125,21 @@
     @Override
     public void body(ByteBuffer piece) throws BadMessage {
         if (body != null) {
+            bodyBytes += piece.remaining();
+            if (!intake.reads(piece.remaining())) {
+                // Nothing of it was sent anywhere, so a refusal is honest.
+                throw new BadMessage(503, "too much is being read");
+            }
             body.read(piece);
         }
     }
 
+    private void bodyRead() {
+        body = null;
+        intake.reads(-bodyBytes);
+        bodyBytes = 0;
+    }
+
     @Override
     public void over() throws BadMessage {
         if (body == null) {
@@ -126,7 +147,7 @@
             return;
         }
         Query q = intake.read(fields, body, this);
-        body = null;
+        bodyRead();
         if (!intake.hasRoom(q)) {
             // Nothing of it was sent anywhere, so a refusal is honest.
             answer(Reply.plain(503, "too many lookups in hand"));
@@ -166,6 +187,7 @@
     @Override
     public void ended(Ending how) {
         intake.ended(this);
+        bodyRead();
         if (query != null) {
             Query left = query;
             query = null;
--- a/src/main/java/tinlink/router/Descriptors.java
+++ b/src/main/java/tinlink/router/Descriptors.java
@@ -1,8 +1,8 @@
 package tinlink.router;
 
 /**
- * The count of open descriptors against the limit. A quarter is kept back for data nodes and an eighth for the
- * process itself, so that clients alone never use up what their lookups need.
+ * The count of open descriptors against the limit. A quarter is kept back for data nodes and an eighth for
+ * the process itself, so that clients alone never use up what their lookups need.
  */
 final class Descriptors {
     private final int forClients;
@@ -15,7 +15,7 @@
         forNodes = limit - limit / 8;
     }
 
-    /** One more may come to the door, which shows that somebody wants in; then an idle one gives way to it. */
+    /** One more may come to the door: it shows that somebody wants in, and an idle one gives way to it. */
     boolean hasForClient() {
         return clients <= forClients;
     }
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -23,14 +23,17 @@
     private final int openCap;
     /** How long the other side may take to see a close. */
     private final long lingerUs;
+    private final long mostReading;
     /** Open client connections; each leaves as it ends. */
     private final Set<Client> clients = new LinkedHashSet<>();
     /** Those with nothing in hand, longest first. */
     private final Set<Client> idle = new LinkedHashSet<>();
+    /** Bytes of bodies that are being read. */
+    private long reading;
     private boolean stopping;
 
     Intake(Loop loop, Network network, Descriptors descriptors, QueryReader reader, ModuleTurn turn,
-           int openCap, long lingerUs) {
+           int openCap, long lingerUs, long mostReading) {
         this.loop = loop;
         this.network = network;
         this.descriptors = descriptors;
@@ -38,6 +41,7 @@
         this.turn = turn;
         this.openCap = openCap;
         this.lingerUs = lingerUs;
+        this.mostReading = mostReading;
     }
 
     // ---- The door. ----
@@ -136,6 +140,12 @@
         return q;
     }
 
+    /** Danger: bodies that many clients send at once, each in full size, would fill the heap. */
+    boolean reads(int bytes) {
+        reading += bytes;
+        return reading <= mostReading;
+    }
+
     boolean hasRoom(Query q) {
         return turn.open() + 1 + q.parts.size() <= openCap;
     }
@@ -155,13 +165,10 @@
         stopping = on;
     }
 
-    /** Clients with nothing in hand are told that nothing more comes; what crosses that they send elsewhere. */
+    /** Clients with nothing in hand are told that nothing more comes; what crosses that goes elsewhere. */
     void closeDoor() {
         network.stopAccepting();
-        for (Client c : Set.copyOf(idle)) {
-            c.link().halfClose();
-            leave(c);
-        }
+        Set.copyOf(idle).forEach(Client::letGo);
     }
 
     boolean isEmpty() {
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -64,17 +64,20 @@
         List<Part> all = q.parts;
         q.parts = new ArrayList<>(all.size());
         queries.put(q.callId, q);
-        parts += all.size();
+        parts += q.announced;
         touched.add(q);
         module.lookup(q);
         all.forEach(module::part);
     }
 
     void clientGone(Query q) {
-        if (!q.ended) {
-            module.clientGone(q);
+        try {
+            if (!q.ended) {
+                module.clientGone(q);
+            }
+        } finally {
+            drop(q);
         }
-        drop(q);
     }
 
     /** What ends while decisions are carried out is an input of the next turn. */
@@ -134,7 +137,7 @@
 
     private void drop(Query q) {
         if (queries.remove(q.callId, q)) {
-            parts -= q.parts.size();
+            parts -= q.announced;
         }
     }
 
--- a/src/main/java/tinlink/router/NodeLink.java
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -102,7 +102,7 @@
             waiting.remove(s.bundle);
             calls--;
             usedAt = sends.now();
-            if (calls == 0) {
+            if (calls == 0 && !link.isOver()) {
                 idle = sends.idle(this);
             }
         }
@@ -223,7 +223,8 @@
 
     @Override
     public void rejected(String words) {
-        LOG.log(Level.WARNING, "data node {0} could not use a frame: {1}", new Object[] {target.address, words});
+        LOG.log(Level.WARNING, "data node {0} could not use a frame: {1}",
+                new Object[] {target.address, words});
         link.end(Ending.FRAME_REJECTED);
     }
 
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -14,6 +14,7 @@
 import tinlink.net.Link;
 import tinlink.net.Loop;
 import tinlink.net.Network;
+import tinlink.start.RouterStart;
 
 /** Carries part calls to data nodes: frames, connections, time limits, and each call's one outcome. */
 final class PartSends {
@@ -22,10 +23,8 @@
     private final Network network;
     private final Descriptors descriptors;
     private final ModuleTurn turn;
-    private final long connectUs;
+    private final RouterStart.Links links;
     private final long idleUs;
-    private final int callsPerLink;
-    private final boolean mayCancel;
     private Intake intake;
     /** Nodes on the list, and those off it with connections; each leaves when it is neither. */
     private final Map<DataNode, Target> targets = new IdentityHashMap<>();
@@ -33,19 +32,15 @@
     private final Map<PartCall.Shared, Bundle> bundles = new IdentityHashMap<>();
     private final List<Bundle> leaving = new ArrayList<>();
 
-    /** @param idleUs after so long without use a node's machine closes a connection */
-    PartSends(Loop loop, Network network, Descriptors descriptors, ModuleTurn turn, long connectUs,
-              long idleUs, int callsPerLink, boolean mayCancel) {
+    PartSends(Loop loop, Network network, Descriptors descriptors, ModuleTurn turn, RouterStart.Links links) {
         this.loop = loop;
         this.network = network;
         this.descriptors = descriptors;
         this.turn = turn;
-        this.connectUs = connectUs;
+        this.links = links;
         // Danger: what is written after the node's machine has closed ends as a reset. Ours closes first, by
         // as much as a connect may take: no message is under way for longer.
-        this.idleUs = Math.max(connectUs, idleUs - connectUs);
-        this.callsPerLink = callsPerLink;
-        this.mayCancel = mayCancel;
+        idleUs = Math.max(links.idleUs() / 2, links.idleUs() - links.connectUs());
     }
 
     void serves(Intake intake) {
@@ -130,8 +125,8 @@
         for (NodeLink l : List.copyOf(t.links)) {
             if (l.calls() == 0 && now() - l.usedAt() >= idleUs) {
                 l.end(Ending.IDLE);
-            } else if (l.calls() < callsPerLink && !l.isSilent() && b.sent.stream().noneMatch(l::confuses)
-                    && (best == null || l.isUp() && !best.isUp())) {
+            } else if (l.calls() < links.callsPerLink() && !l.isSilent()
+                    && b.sent.stream().noneMatch(l::confuses) && (best == null || l.isUp() && !best.isUp())) {
                 best = l;
             }
         }
@@ -154,7 +149,7 @@
         NodeLink l = new NodeLink(this, t, now());
         try {
             Link link = network.connect(t.address, l);
-            l.on(link, loop.at(now() + connectUs, () -> link.end(Ending.NOT_UP)));
+            l.on(link, loop.at(now() + links.connectUs(), () -> link.end(Ending.NOT_UP)));
             descriptors.nodeOpened();
             t.links.add(l);
             return l;
@@ -183,7 +178,7 @@
         loop.takeBack(s.limit);
         s.limit = null;
         if (s.bundle.link != null) {
-            s.bundle.link.over(s, giveUp && mayCancel);
+            s.bundle.link.over(s, giveUp && links.mayCancel());
         } else {
             s.bundle.open--;
         }
--- a/src/main/java/tinlink/router/QueryReader.java
+++ b/src/main/java/tinlink/router/QueryReader.java
@@ -8,20 +8,19 @@
 import tinlink.decision.Index;
 import tinlink.net.BadMessage;
 import tinlink.net.JsonReader;
+import tinlink.start.RouterStart;
 
 /** Makes a query from the head and the body of a client's request, or says what is wrong with them. */
 final class QueryReader {
-    private final Map<String, Index> indexes;
-    private final int shards;
+    private final RouterStart.Lookups may;
 
-    QueryReader(Map<String, Index> indexes, int shards) {
-        this.indexes = indexes;
-        this.shards = shards;
+    QueryReader(RouterStart.Lookups may) {
+        this.may = may;
     }
 
     Query read(Map<String, String> fields, JsonReader body, Client client, long now) throws BadMessage {
         String callId = matching(fields, "x-call-id", "[A-Za-z0-9_-]{1,64}");
-        Index index = indexes.get(fields.getOrDefault("x-call-class", ""));
+        Index index = may.indexes().get(fields.getOrDefault("x-call-class", ""));
         if (index == null) {
             throw new BadMessage(400, "X-Call-Class: no such class");
         }
@@ -42,7 +41,8 @@
         return q;
     }
 
-    private static String matching(Map<String, String> fields, String name, String pattern) throws BadMessage {
+    private static String matching(Map<String, String> fields, String name, String pattern)
+            throws BadMessage {
         String value = fields.get(name);
         if (value == null || !value.matches(pattern)) {
             throw new BadMessage(400, name + (value == null ? ": missing" : ": not of its form"));
@@ -60,7 +60,7 @@
                 throw new BadMessage(400, "segments: an entry is no object");
             }
             if (!(map.get("segment") instanceof Double shard) || shard != Math.rint(shard) || shard < 0
-                    || shard >= shards || !seen.add(shard.intValue())) {
+                    || shard >= may.shards() || !seen.add(shard.intValue())) {
                 throw new BadMessage(400, "segment: no such shard, or twice");
             }
             if (!(map.get("boost") instanceof Double boost) || !(boost > 0) || boost > 1e9) {
--- a/src/main/java/tinlink/router/Reply.java
+++ b/src/main/java/tinlink/router/Reply.java
@@ -54,7 +54,8 @@
     void write(Ring to, boolean last) {
         to.put("HTTP/1.1 " + status + " " + words() + "\r\n" + fields
                 + (status == 405 ? "Allow: GET, POST\r\n" : "")
-                + (last ? "Connection: close\r\n" : "") + "Content-Length: " + body.length + "\r\n\r\n").put(body);
+                + (last ? "Connection: close\r\n" : "")
+                + "Content-Length: " + body.length + "\r\n\r\n").put(body);
     }
 
     private String words() {
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -29,6 +29,7 @@
 final class Roster {
     private static final Logger LOG = Logger.getLogger("tinlink.roster");
     private static final int SILENT_LINES = 3;
+    private static final long FIRST_WAIT_US = Protocol.WATCH_LINE_US / 16;
 
     private final Loop loop;
     private final Network network;
@@ -44,7 +45,7 @@
     private long nodesSeen;
     private long revision;
     private Watch watch;
-    private long waitUs = Protocol.WATCH_LINE_US / 16;
+    private long waitUs = FIRST_WAIT_US;
 
     /** Names as numbers: those of the settings first, others as they come. There are few. */
     private static final class Numbers {
@@ -64,7 +65,7 @@
     }
 
     Roster(Loop loop, Network network, ModuleTurn turn, PartSends sends, InetSocketAddress discovery,
-           boolean pushed, long seed, List<String> zones, List<String> kinds) {
+           boolean pushed, long seed, RouterStart.Names names) {
         this.loop = loop;
         this.network = network;
         this.turn = turn;
@@ -72,8 +73,8 @@
         this.discovery = discovery;
         this.pushed = pushed;
         random = new SplittableRandom(seed);
-        this.zones = new Numbers(zones);
-        this.kinds = new Numbers(kinds);
+        this.zones = new Numbers(names.zones());
+        this.kinds = new Numbers(names.kinds());
     }
 
     int size() {
@@ -213,7 +214,8 @@
 
         private void expectLine() {
             loop.takeBack(silence);
-            silence = loop.at(loop.now() + SILENT_LINES * Protocol.WATCH_LINE_US, () -> link.end(Ending.SILENT));
+            silence = loop.at(loop.now() + SILENT_LINES * Protocol.WATCH_LINE_US,
+                    () -> link.end(Ending.SILENT));
         }
 
         @Override
@@ -250,7 +252,7 @@
 
         @Override
         public void headOver() {
-            waitUs = Protocol.WATCH_LINE_US / 16;
+            // Only a whole line shows that discovery serves again.
         }
 
         @Override
@@ -273,6 +275,7 @@
         private void lineOver() {
             JsonReader whole = line;
             boolean use = !bad && !whole.empty();
+            waitUs = FIRST_WAIT_US;
             line = new JsonReader();
             bad = false;
             if (use) {
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -2,13 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import tinlink.decision.Aggregator;
-import tinlink.decision.Index;
 import tinlink.net.Loop;
 import tinlink.net.Network;
 import tinlink.start.RouterStart;
@@ -29,7 +26,6 @@
     private final RouterStart start;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch over = new CountDownLatch(1);
-    private long longestUs;
 
     /** @param module what decides; another than the built one only to see how the router bears it */
     public Router(RouterStart start, Aggregator module) throws IOException {
@@ -37,17 +33,11 @@
         network = new Network(loop);
         turn = new ModuleTurn(loop, module);
         Descriptors descriptors = new Descriptors(start.descriptors);
-        PartSends sends = new PartSends(loop, network, descriptors, turn, start.connectUs, start.idleUs,
-                start.callsPerLink, start.mayCancel);
-        Map<String, Index> indexes = new LinkedHashMap<>();
-        for (int i = 0; i < start.indexNames.size(); i++) {
-            indexes.put(start.indexNames.get(i), start.built.indexes[i]);
-            longestUs = Math.max(longestUs, start.built.indexes[i].hardUs);
-        }
-        intake = new Intake(loop, network, descriptors, new QueryReader(indexes, start.shards), turn,
-                start.openCap, start.connectUs);
-        roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed, start.zones,
-                start.kinds);
+        PartSends sends = new PartSends(loop, network, descriptors, turn, start.links);
+        intake = new Intake(loop, network, descriptors, new QueryReader(start.lookups), turn,
+                start.lookups.openCap(), start.links.connectUs(), start.mostReading);
+        roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed,
+                start.names);
         sends.serves(intake);
         turn.serves(sends, roster::follow);
     }
@@ -95,10 +85,11 @@
     }
 
     private void stop() {
-        LOG.log(Level.INFO, "{0} stops, {1} lookups and parts in hand", new Object[] {start.name, turn.open()});
+        LOG.log(Level.INFO, "{0} stops, {1} lookups and parts in hand",
+                new Object[] {start.name, turn.open()});
         intake.stopping(true);
         loop.at(loop.now() + CLIENTS_COME_US, intake::closeDoor);
-        long last = loop.now() + LAST_TAKEN_US + longestUs;
+        long last = loop.now() + LAST_TAKEN_US + start.longestUs;
         loop.at(loop.now() + LAST_TAKEN_US, () -> endWhenEmpty(last));
     }
 
@@ -106,7 +97,7 @@
         if (intake.isEmpty() || loop.now() >= last) {
             loop.end();
         } else {
-            loop.at(loop.now() + start.connectUs / 8, () -> endWhenEmpty(last));
+            loop.at(loop.now() + start.links.connectUs() / 8, () -> endWhenEmpty(last));
         }
     }
 }
--- a/src/main/java/tinlink/start/Figures.java
+++ b/src/main/java/tinlink/start/Figures.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 
 /**
- * The figures that a module or a router is started with, by path. The bench gives path=value pairs, a router's
- * file nested JSON; both become the same flat paths. Unknown ones are never asked for.
+ * The figures that a module or a router is started with, by path. The bench gives path=value pairs, a
+ * router's file nested JSON; both become the same flat paths. Unknown ones are never asked for.
  */
 public final class Figures {
     private final String from;
@@ -33,7 +33,7 @@
         return f;
     }
 
-    /** Nested JSON: lists of plain values are joined with commas, lists of objects get a count and numbers. */
+    /** Nested JSON: lists of plain values are joined with commas, those of objects get a count. */
     static Figures ofTree(String from, Map<?, ?> tree) {
         Figures f = new Figures(from);
         tree.forEach((k, v) -> f.flatten(String.valueOf(k), v));
--- a/src/main/java/tinlink/start/RouterStart.java
+++ b/src/main/java/tinlink/start/RouterStart.java
@@ -4,43 +4,49 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.logging.Level;
-import java.util.stream.IntStream;
 import tinlink.decision.Index;
 import tinlink.net.BadMessage;
 import tinlink.net.JsonReader;
 
 /**
- * What a router is started with: the file named by NODE_CONFIG, and NODE_NAME, NODE_LISTEN and NODE_DISCOVERY,
- * which win over it. Everything is checked here; a message names the key at fault.
+ * What a router is started with: the file named by NODE_CONFIG, and NODE_NAME, NODE_LISTEN and
+ * NODE_DISCOVERY, which win over it. Everything is checked here; a message names the key at fault.
  */
 public final class RouterStart {
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress discovery;
     public final int descriptors;
+    /** Bodies that are being read may be so long together. */
+    public final long mostReading;
+    /** Whether discovery tells changes on its own; if not, the module says when to ask. */
+    public final boolean pushed;
     public final long seed;
     public final Level logLevel;
     /** The list of data nodes as this router most recently had it, in discovery's form; may be empty. */
     public final Map<?, ?> known;
     public final ModuleStart built;
+    /** The longest hard deadline. */
+    public final long longestUs;
+    public final Lookups lookups;
+    public final Links links;
+    public final Names names;
 
-    // What a lookup is checked against.
-    public final List<String> indexNames;
-    public final int shards;
-    public final int openCap;
-    // What connections to data nodes need.
-    public final long connectUs;
-    public final long idleUs;
-    public final int callsPerLink;
-    public final int bundleMax;
-    public final boolean mayCancel;
-    // What the list's names stand for.
-    public final List<String> zones;
-    public final List<String> kinds;
-    public final boolean pushed;
+    /** What a lookup is checked against. */
+    public record Lookups(Map<String, Index> indexes, int shards, int openCap) {
+    }
+
+    /** What connections to data nodes need; after {@code idleUs} without use a node's machine closes one. */
+    public record Links(long connectUs, long idleUs, int callsPerLink, boolean mayCancel) {
+    }
+
+    /** What the names in the list of data nodes stand for, in the settings' order. */
+    public record Names(List<String> zones, List<String> kinds) {
+    }
 
     public RouterStart(Map<String, String> env) {
         String file = env.get("NODE_CONFIG");
@@ -54,6 +60,12 @@
         listen = address(top, "listen", env.getOrDefault("NODE_LISTEN", top.text("listen", "")));
         discovery = address(top, "discovery", env.getOrDefault("NODE_DISCOVERY", top.text("discovery", "")));
         logLevel = level(env.getOrDefault("NODE_LOG", "INFO"));
+        // What is made of a body while it is read is up to 16 times as large; half the heap is for the rest.
+        mostReading = (long) Math.min(Runtime.getRuntime().maxMemory() / 32.0,
+                top.number("limits.memory_mb", 192) * (1 << 20) / 96);
+        if (mostReading <= 0) {
+            throw top.bad("limits.memory_mb", "is no memory to serve with");
+        }
         descriptors = least(top, "limits.sockets", 1024, 64);
         known = tree.get("known") instanceof Map<?, ?> map ? map : Map.of();
         if (!(tree.get("settings") instanceof Map<?, ?> settings)) {
@@ -66,22 +78,22 @@
         int count = least(f, "profiles.count", 0, 1);
         seed = seed(top);
         built = new ModuleStart(seed, f);
-        indexNames = IntStream.range(0, count)
-                .mapToObj(i -> named(f, "profiles." + i + ".name")).toList();
-        for (Index x : built.indexes) {
-            if (x.secondStep > 0) {
+        Map<String, Index> indexes = new LinkedHashMap<>();
+        long longest = 0;
+        for (int i = 0; i < count; i++) {
+            indexes.put(named(f, "profiles." + i + ".name"), built.indexes[i]);
+            longest = Math.max(longest, built.indexes[i].hardUs);
+            if (built.indexes[i].secondStep > 0) {
                 throw f.bad("familyInfo.followUp", "asks for a second step, which is not served on sockets");
             }
         }
-        shards = least(f, "familyInfo.slabs", 1, 1);
-        openCap = least(f, "limits.openCap", 1000, 1);
-        connectUs = Math.max(1000, f.micros("limits.connectTimeoutMs", 250_000));
-        idleUs = Math.max(connectUs, f.micros("limits.connIdleMs", 30_000_000));
-        callsPerLink = least(f, "limits.streamsPerConn", 1, 1);
-        bundleMax = least(f, "familyInfo.bundleMax", 1, 1);
-        mayCancel = f.flag("limits.cancel");
-        zones = f.items("localities");
-        kinds = f.items("models");
+        longestUs = longest;
+        lookups = new Lookups(indexes, least(f, "familyInfo.slabs", 1, 1),
+                least(f, "limits.openCap", 1000, 1));
+        long connectUs = positive(f, "limits.connectTimeoutMs", 250_000);
+        links = new Links(connectUs, positive(f, "limits.connIdleMs", 30_000_000),
+                least(f, "limits.streamsPerConn", 1, 1), f.flag("limits.cancel"));
+        names = new Names(f.items("localities"), f.items("models"));
         pushed = f.text("discovery", "pushed").equals("pushed");
     }
 
@@ -127,6 +139,14 @@
         return value;
     }
 
+    private static long positive(Figures f, String path, long absentUs) {
+        long us = f.micros(path, absentUs);
+        if (us <= 0) {
+            throw f.bad(path, "is no time to wait: " + us + " us");
+        }
+        return us;
+    }
+
     private static String named(Figures f, String path) {
         if (!f.has(path)) {
             throw f.bad(path, "is missing");
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -38,8 +38,8 @@
 import tinlink.start.RouterStart;
 
 /**
- * Plays one scenario against a router on loopback sockets, with stand-ins of its own for clients, data nodes and
- * discovery; docs/scenarios.md has the notation. A stand-in does what its line says and nothing else.
+ * Plays one scenario against a router on loopback sockets, with stand-ins of its own for clients, data nodes
+ * and discovery; docs/scenarios.md has the notation. A stand-in does what its line says and nothing else.
  */
 final class RouterPlayer implements AutoCloseable {
     private static final int PATIENCE_MS = 10_000;
@@ -50,17 +50,17 @@
     private final Map<String, Client> clients = new HashMap<>();
     private final StandIn discovery = new StandIn("disc", 0);
     private Router router;
-    private Thread serving;
     private Thread stopping;
     private boolean faulty;
 
     RouterPlayer(Path dir) throws IOException {
         this.dir = dir;
-        String[] usual = {"sockets", "256", "familyInfo.sets", "12", "familyInfo.reach", "2", "familyInfo.slabs", "12",
-            "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
-            "familyInfo.minShare", "[0.5,1,1,1]", "limits.connectTimeoutMs", "2000", "limits.connIdleMs", "30000",
-            "limits.streamsPerConn", "8", "limits.tryLimit", "3", "limits.openCap", "40", "limits.cancel", "true",
-            "limits.secondCopies", "true", "limits.retryAfter", "true", "limits.maxRetryAfterMs", "2000"};
+        String[] usual = {"sockets", "256", "memory", "192", "familyInfo.sets", "12", "familyInfo.reach", "2",
+            "familyInfo.slabs", "12", "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
+            "familyInfo.minShare", "[0.5,1,1,1]", "limits.connectTimeoutMs", "2000",
+            "limits.connIdleMs", "30000", "limits.streamsPerConn", "8", "limits.tryLimit", "3",
+            "limits.openCap", "40", "limits.cancel", "true", "limits.secondCopies", "true",
+            "limits.retryAfter", "true", "limits.maxRetryAfterMs", "2000"};
         for (int i = 0; i < usual.length; i += 2) {
             settings.put(usual[i], usual[i + 1]);
         }
@@ -138,22 +138,23 @@
         Path config = dir.resolve("config.json");
         Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
                 + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
-                + settings.get("sockets") + "},\"known\":{\"rev\":41,\"all\":true,\"targets\":[" + known
+                + settings.get("sockets") + ",\"memory_mb\":" + settings.get("memory")
+                + "},\"known\":{\"rev\":41,\"all\":true,\"targets\":[" + known
                 + "]},\"settings\":{\"stepMs\":5,\"zone\":0,\"localities\":[\"east\",\"west\"],"
-                + "\"models\":[\"m\"],\"familyInfo\":{" + group("familyInfo.") + "},\"limits\":{" + group("limits.")
-                + "},\"profiles\":["
-                + profile("any", "pure") + "," + profile("all", "pure") + "," + profile("pay", "token") + "," + profile("once", "side_effect") + "]"
+                + "\"models\":[\"m\"],\"familyInfo\":{" + group("familyInfo.") + "},\"limits\":{"
+                + group("limits.") + "},\"profiles\":["
+                + profile("any", "pure") + "," + profile("all", "pure") + ","
+                + profile("pay", "token") + "," + profile("once", "side_effect") + "]"
                 + "}}");
         RouterStart from = new RouterStart(Map.of("NODE_CONFIG", config.toString(), "NODE_LOG", "OFF"));
         router = new Router(from, faulty ? new Faulty(from.built.module) : from.built.module);
-        serving = new Thread(() -> {
+        new Thread(() -> {
             try {
                 router.run();
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
-        });
-        serving.start();
+        }).start();
         router.awaitListening();
     }
 
@@ -289,8 +290,9 @@
         }
 
         private String entry(String state, long bootMs) {
-            return "{\"uid\":\"" + name + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"east\",\"model\":"
-                    + "\"m\",\"pod_group\":" + cell + ",\"state\":\"" + state + "\",\"boot_ms\":" + bootMs + "}";
+            return "{\"uid\":\"" + name + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"east\","
+                    + "\"model\":\"m\",\"pod_group\":" + cell + ",\"state\":\"" + state
+                    + "\",\"boot_ms\":" + bootMs + "}";
         }
 
         private void listen(Socket s) {
@@ -355,8 +357,8 @@
         private void chunks(String text) throws IOException {
             for (int at = 0; at < text.length(); at += 7) {
                 String piece = text.substring(at, Math.min(at + 7, text.length()));
-                newest().getOutputStream().write((Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n")
-                        .getBytes(StandardCharsets.UTF_8));
+                String chunk = Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n";
+                newest().getOutputStream().write(chunk.getBytes(StandardCharsets.UTF_8));
             }
         }
 
@@ -448,7 +450,9 @@
                     .collect(Collectors.joining(","));
             String body = "{\"segments\":[" + segments + "],\"text\":\"t" + w[0] + "\"}";
             return "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + w[0] + "\r\nX-Call-Class: " + w[1]
-                    + "\r\nX-Budget-Ms: " + w[2] + "\r\n" + (w.length > 4 ? "Idempotency-Key: " + w[4] + "\r\n" : "") + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+                    + "\r\nX-Budget-Ms: " + w[2] + "\r\n"
+                    + (w.length > 4 ? "Idempotency-Key: " + w[4] + "\r\n" : "")
+                    + "Content-Length: " + body.length() + "\r\n\r\n" + body;
         }
 
         /** Status, "close" and "again" where the head says so, and the body of a 200. */
@@ -459,11 +463,12 @@
                 return "100";
             }
             int at = head.indexOf("content-length: ") + 16;
-            String body = new String(in.readNBytes(Integer.parseInt(head.substring(at, head.indexOf('\r', at)))),
-                    StandardCharsets.UTF_8).strip();
+            int length = Integer.parseInt(head.substring(at, head.indexOf('\r', at)));
+            String body = new String(in.readNBytes(length), StandardCharsets.UTF_8).strip();
             String status = head.split(" ")[1];
             return status + (head.contains("connection: close") ? " close" : "")
-                    + (head.contains("retry-after: ") ? " again" : "") + (status.equals("200") ? " " + body : "");
+                    + (head.contains("retry-after: ") ? " again" : "")
+                    + (status.equals("200") ? " " + body : "");
         }
 
         private String end() throws IOException {
@@ -487,10 +492,9 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         if (router != null) {
             router.end();
-            serving.join(PATIENCE_MS);
         }
         discovery.close();
         for (StandIn s : standIns.values()) {
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -36,7 +36,7 @@
 
 /** Plays every scenario: the module's through {@link Player}, the wire's through the adapter. */
 class ScenarioTest {
-    /** Held, so that its level stays: what routers log of troubles that are played is not for the build's log. */
+    /** Held, so that its level stays: what routers log of troubles played is not for the build's log. */
     private static final Logger QUIET = Logger.getLogger("tinlink");
     private static final Path DIR = Path.of("src/test/resources/scenarios");
 
@@ -112,7 +112,8 @@
     @MethodSource
     void config(String title, List<String> script, @TempDir Path dir) throws IOException {
         Path file = Files.writeString(dir.resolve("c"), pick(script, "> "));
-        BadInput e = assertThrows(BadInput.class, () -> new RouterStart(Map.of("NODE_CONFIG", file.toString())));
+        BadInput e = assertThrows(BadInput.class,
+                () -> new RouterStart(Map.of("NODE_CONFIG", file.toString())));
         assertEquals(pick(script, "! "), e.getMessage() + "\n");
     }
 
--- a/src/test/java/tinlink/net/ParserPlayer.java
+++ b/src/test/java/tinlink/net/ParserPlayer.java
@@ -52,8 +52,9 @@
                 i++;
             } else if (next == '*') { // \*N,x stands for N times x
                 int comma = escaped.indexOf(',', i);
-                out.writeBytes(escaped.substring(comma + 1, comma + 2)
-                        .repeat(Integer.parseInt(escaped.substring(i + 2, comma))).getBytes(StandardCharsets.UTF_8));
+                int times = Integer.parseInt(escaped.substring(i + 2, comma));
+                out.writeBytes(escaped.substring(comma + 1, comma + 2).repeat(times)
+                        .getBytes(StandardCharsets.UTF_8));
                 i = comma + 1;
             } else {
                 out.writeBytes(String.valueOf(c).getBytes(StandardCharsets.UTF_8));
