Shares of a lookup's parts are taken of their sum; the limit on what is in hand as the wire states it

Seen in a read-through: boosts that add up to more than one would have let one of two parts pass for a whole answer (QueryReader); they are now divided by their sum. The limit of lookups and parts in hand refused a lookup that would only pass it; the wire's page refuses once it is reached. A fault in the module while a client leaves no longer keeps that client's 500 from it. Link loses a way to end that nobody used.

--- a/src/main/java/tinlink/net/Link.java
+++ b/src/main/java/tinlink/net/Link.java
@@ -44,7 +44,6 @@
     private boolean reading;
     private boolean writing;
     private boolean unwritten;
-    private boolean closing;
     private boolean ended;
     private boolean full;
     /** The kernel took less than it was offered. */
@@ -175,12 +174,6 @@
         return place <= (writing ? offered : taken);
     }
 
-    /** Ends the link in order once what is in the ring has been written. */
-    public void endWhenWritten() {
-        closing = true;
-        later();
-    }
-
     /** Says that nothing more will be written, and goes on reading until the other side ends the link too. */
     public void halfClose() {
         if (isIdle()) {
@@ -199,9 +192,6 @@
         }
         if (out.size() == 0) {
             out.shrink();
-            if (closing) {
-                end(Ending.DONE);
-            }
             return;
         }
         writing = true;
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -148,7 +148,8 @@
         }
         Query q = intake.read(fields, body, this);
         bodyRead();
-        if (!intake.hasRoom(q)) {
+        fields.clear(); // A connection with nothing in hand holds next to nothing.
+        if (!intake.hasRoom()) {
             // Nothing of it was sent anywhere, so a refusal is honest.
             answer(Reply.plain(503, "too many lookups in hand"));
             return;
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -146,8 +146,9 @@
         return reading <= mostReading;
     }
 
-    boolean hasRoom(Query q) {
-        return turn.open() + 1 + q.parts.size() <= openCap;
+    /** The settings' number of lookups and parts in hand has not been reached. */
+    boolean hasRoom() {
+        return turn.open() < openCap;
     }
 
     void take(Query q) {
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -71,12 +71,13 @@
     }
 
     void clientGone(Query q) {
+        drop(q);
         try {
             if (!q.ended) {
                 module.clientGone(q);
             }
-        } finally {
-            drop(q);
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "a fault in the module as a client left", e);
         }
     }
 
--- a/src/main/java/tinlink/router/QueryReader.java
+++ b/src/main/java/tinlink/router/QueryReader.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import tinlink.decision.Index;
+import tinlink.decision.Part;
 import tinlink.net.BadMessage;
 import tinlink.net.JsonReader;
 import tinlink.start.RouterStart;
@@ -55,6 +56,7 @@
             throw new BadMessage(400, "segments: no list, or an empty one");
         }
         Set<Integer> seen = new HashSet<>();
+        double sum = 0;
         for (Object one : list) {
             if (!(one instanceof Map<?, ?> map)) {
                 throw new BadMessage(400, "segments: an entry is no object");
@@ -67,6 +69,11 @@
                 throw new BadMessage(400, "boost: no share");
             }
             q.parts.add(new Segment(q, shard.intValue(), boost));
+            sum += boost;
+        }
+        // Danger: shares that add up to more than one would let too few parts pass for a whole answer.
+        for (Part p : q.parts) {
+            p.weight /= sum;
         }
         q.announced = q.parts.size();
     }
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -34,6 +34,7 @@
 import tinlink.decision.Outcome;
 import tinlink.decision.Part;
 import tinlink.decision.PartCall;
+import tinlink.net.ParserPlayer;
 import tinlink.router.Router;
 import tinlink.start.RouterStart;
 
@@ -328,11 +329,15 @@
                 at = lf + 1 + Integer.parseInt(w[3]);
                 from.put(w[0], s);
                 parts.add(w[0] + " " + w[1] + w[2].replaceAll("^d=[1-9][0-9]*", "").replace(",", " ")
-                        + " " + frame.substring(lf + 1, at));
+                        + " " + brief(frame.substring(lf + 1, at)));
             }
             return "R " + String.join(" + ", parts);
         }
 
+        private static String brief(String text) {
+            return text.length() > 999 ? text.length() + " bytes" : text;
+        }
+
         void line(String what, String rest) throws Exception {
             switch (what) {
                 case "<" -> {
@@ -369,7 +374,7 @@
         private void says(String[] w) throws IOException {
             switch (w[0]) {
                 case "OK", "ERROR", "REJECTED" -> frame(from.get(w[1]), "Y" + w[1] + " " + w[0] + " 7 -\n"
-                        + (w.length > 2 ? w[2] : ""));
+                        + (w.length > 2 ? new String(ParserPlayer.bytes(w[2]), StandardCharsets.UTF_8) : ""));
                 case "N" -> frame(newest(), "N" + String.join(" ", w).substring(1));
                 case "frame" -> frame(newest(), String.join(" ", w).substring(6));
                 case "end" -> newest().close();
@@ -426,7 +431,7 @@
             connect();
             switch (what) {
                 case "asks" -> write(request(rest.split(" ")));
-                case ">" -> write(rest.replace("\\r", "\r").replace("\\n", "\n"));
+                case ">" -> socket.getOutputStream().write(ParserPlayer.bytes(rest));
                 case "slowly" -> {
                     for (byte b : request(rest.split(" ")).getBytes(StandardCharsets.UTF_8)) {
                         socket.getOutputStream().write(b);
@@ -468,7 +473,7 @@
             String status = head.split(" ")[1];
             return status + (head.contains("connection: close") ? " close" : "")
                     + (head.contains("retry-after: ") ? " again" : "")
-                    + (status.equals("200") ? " " + body : "");
+                    + (status.equals("200") ? " " + StandIn.brief(body) : "");
         }
 
         private String end() throws IOException {
--- a/src/test/java/tinlink/net/ParserPlayer.java
+++ b/src/test/java/tinlink/net/ParserPlayer.java
@@ -39,7 +39,8 @@
         }
     }
 
-    private static byte[] bytes(String escaped) {
+    /** Bytes from their escaped form. */
+    public static byte[] bytes(String escaped) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         for (int i = 0; i < escaped.length(); i++) {
             char c = escaped.charAt(i);
