No new part call on a connection to a node that has moved or started anew

Seen in a read-through of PartSends.place against the issue: links with calls out stayed in use after their node had a new address or a new start, so what came next would have ended as a reset. They are retired now: their calls may still be answered, new ones go on a new connection.

--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -187,6 +187,7 @@
 
     @Override
     public void ended(Ending how) {
+        LOG.log(Level.FINE, "client: {0}", how);
         intake.ended(this);
         bodyRead();
         if (query != null) {
--- a/src/main/java/tinlink/router/NodeLink.java
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -34,6 +34,7 @@
     private long usedAt;
     private long heardAt;
     private boolean silent;
+    private boolean retired;
     private Loop.Timer connect;
     private Loop.Timer idle;
 
@@ -66,10 +67,22 @@
 
     /**
      * Danger: a machine that has vanished leaves its connections open; one on which a call went unanswered,
-     * with nothing heard since, is not trusted with the next.
+     * with nothing heard since, is not trusted with the next. Nor is one to a node that has moved or started
+     * anew since: what is out on it may still be answered, what is new would be lost.
      */
-    boolean isSilent() {
-        return silent;
+    boolean isTrusted() {
+        return !silent && !retired;
+    }
+
+    /** Why it is closed once no call is out on it; null where it stays for the next. */
+    Ending endsUnused() {
+        boolean gone = retired || target.node.state == DataNode.State.GONE;
+        return silent ? Ending.SILENT : gone ? Ending.GONE : null;
+    }
+
+    /** Its node has moved, or has started anew. */
+    void retire() {
+        retired = true;
     }
 
     /** Danger: an answer to an earlier part call of that id would pass for one to the new. */
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -64,10 +64,11 @@
     /** Its state or address has changed: what waits for it may be stale, and so may connections. */
     void changed(Target t, boolean moved) {
         for (NodeLink l : List.copyOf(t.links)) {
-            l.dropStale();
-            if (l.calls() == 0 && (moved || t.node.state == DataNode.State.GONE)) {
-                l.end(Ending.GONE);
+            if (moved) {
+                l.retire();
             }
+            l.dropStale();
+            endUnused(l, l.endsUnused());
         }
         forgetIfGone(t);
     }
@@ -125,7 +126,7 @@
         for (NodeLink l : List.copyOf(t.links)) {
             if (l.calls() == 0 && now() - l.usedAt() >= idleUs) {
                 l.end(Ending.IDLE);
-            } else if (l.calls() < links.callsPerLink() && !l.isSilent()
+            } else if (l.calls() < links.callsPerLink() && l.isTrusted()
                     && b.sent.stream().noneMatch(l::confuses) && (best == null || l.isUp() && !best.isUp())) {
                 best = l;
             }
@@ -189,15 +190,16 @@
 
     /** A link with no call out is closed before its node's machine does it. */
     Loop.Timer idle(NodeLink l) {
-        if (l.isSilent() || l.target().node.state == DataNode.State.GONE) {
-            loop.ready(() -> endUnused(l, l.isSilent() ? Ending.SILENT : Ending.GONE));
+        Ending how = l.endsUnused();
+        if (how != null) {
+            loop.ready(() -> endUnused(l, how));
             return null;
         }
         return loop.at(l.usedAt() + idleUs, () -> endUnused(l, Ending.IDLE));
     }
 
     private static void endUnused(NodeLink l, Ending how) {
-        if (l.calls() == 0) {
+        if (l.calls() == 0 && how != null) {
             l.end(how);
         }
     }
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -26,6 +26,11 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
 import java.util.stream.Collectors;
 import tinlink.decision.Aggregator;
 import tinlink.decision.DataNode;
@@ -45,7 +50,26 @@
 final class RouterPlayer implements AutoCloseable {
     private static final int PATIENCE_MS = 10_000;
     private static final int QUIET_MS = 60;
+    private static final Logger LOG = Logger.getLogger("tinlink");
     private final Path dir;
+    /** What the router has logged and no line of the script has looked at. */
+    private final LinkedBlockingQueue<String> logged = new LinkedBlockingQueue<>();
+    private final Handler handler = new Handler() {
+        @Override
+        public void publish(LogRecord r) {
+            logged.add(new SimpleFormatter().formatMessage(r));
+        }
+
+        @Override
+        public void flush() {
+            // Nothing is held back.
+        }
+
+        @Override
+        public void close() {
+            // Nothing to let go of.
+        }
+    };
     private final Map<String, String> settings = new LinkedHashMap<>();
     private final Map<String, StandIn> standIns = new LinkedHashMap<>();
     private final Map<String, Client> clients = new HashMap<>();
@@ -56,6 +80,9 @@
 
     RouterPlayer(Path dir) throws IOException {
         this.dir = dir;
+        LOG.setUseParentHandlers(false);
+        LOG.setLevel(Level.FINE);
+        LOG.addHandler(handler);
         String[] usual = {"sockets", "256", "memory", "192", "familyInfo.sets", "12", "familyInfo.reach", "2",
             "familyInfo.slabs", "12", "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
             "familyInfo.minShare", "[0.5,1,1,1]", "limits.connectTimeoutMs", "2000",
@@ -120,7 +147,13 @@
                 stopping.join(PATIENCE_MS);
                 assertEquals(false, stopping.isAlive(), "still stopping");
             }
-            case "wait" -> Thread.sleep(Integer.parseInt(w[1]));
+            case "log" -> {
+                String next = logged.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+                while (next != null && !next.contains(rest)) {
+                    next = logged.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+                }
+                assertEquals(true, next != null, "nothing like it was logged");
+            }
             case "disc" -> discovery.line(w[1], rest);
             default -> {
                 if (standIns.containsKey(w[0])) {
@@ -498,6 +531,7 @@
 
     @Override
     public void close() throws IOException {
+        LOG.removeHandler(handler);
         if (router != null) {
             router.end();
         }
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -17,11 +17,8 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -36,15 +33,8 @@
 
 /** Plays every scenario: the module's through {@link Player}, the wire's through the adapter. */
 class ScenarioTest {
-    /** Held, so that its level stays: what routers log of troubles played is not for the build's log. */
-    private static final Logger QUIET = Logger.getLogger("tinlink");
     private static final Path DIR = Path.of("src/test/resources/scenarios");
 
-    @BeforeAll
-    static void quiet() {
-        QUIET.setLevel(Level.OFF);
-    }
-
     /** A file may hold several scenarios, each under a line of "== name". */
     static List<Arguments> module() throws IOException {
         return sections(".scn");
