--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -6,6 +6,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -386,12 +387,24 @@
                 }
                 case "says" -> chunks(rest + "\n");
                 case "links" -> assertEquals(Integer.parseInt(rest), links.size(), "links in all");
-                case "refuses" -> server.close();
+                case "refuses" -> refuse();
                 case "accepts" -> accept();
                 default -> throw new IllegalArgumentException(what);
             }
         }
 
+        /** Until the thread that accepts has let go of it, the kernel still takes connections. */
+        private void refuse() throws IOException {
+            server.close();
+            for (boolean taken = true; taken;) {
+                try {
+                    new Socket(InetAddress.getLoopbackAddress(), port).close();
+                } catch (ConnectException e) {
+                    taken = false;
+                }
+            }
+        }
+
         private void chunks(String text) throws IOException {
             for (int at = 0; at < text.length(); at += 7) {
                 String piece = text.substring(at, Math.min(at + 7, text.length()));
