--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -162,8 +162,8 @@
     // ---- The stop. ----
 
     /** From now on every answer is the last one on its connection. */
-    void stopping(boolean on) {
-        stopping = on;
+    void stop() {
+        stopping = true;
     }
 
     /** Clients with nothing in hand are told that nothing more comes; what crosses that goes elsewhere. */
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -1,6 +1,7 @@
 package tinlink.router;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -106,8 +107,9 @@
     public void decides() {
         // Danger: a fault in the module would come back at every pull. First the lookups with inputs in this
         // turn are given up, then all; each as failed, since some part of it may have run.
-        pull(touched);
-        pull(new LinkedHashSet<>(queries.values()));
+        if (!pulled(touched)) {
+            pulled(queries.values());
+        }
         touched.clear();
         carrying = true;
         for (int i = 0; i < asked.size(); i++) {
@@ -122,17 +124,20 @@
         carrying = false;
     }
 
-    private void pull(Set<Query> blamed) {
+    /** Pulls decisions until there is none; false after a fault, for which these lookups have been ended. */
+    private boolean pulled(Collection<Query> blamed) {
         try {
             while (module.decide(this)) {
                 // Each decision has been noted as it left.
             }
+            return true;
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "a fault in the module ends " + blamed.size() + " lookups", e);
             for (Query q : List.copyOf(blamed)) {
                 clientGone(q);
                 q.client.answer(q, Reply.plain(500, "a fault of the router"));
             }
+            return false;
         }
     }
 
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -87,7 +87,7 @@
     private void stop() {
         LOG.log(Level.INFO, "{0} stops, {1} lookups and parts in hand",
                 new Object[] {start.name, turn.open()});
-        intake.stopping(true);
+        intake.stop();
         loop.at(loop.now() + CLIENTS_COME_US, intake::closeDoor);
         long last = loop.now() + LAST_TAKEN_US + start.longestUs;
         loop.at(loop.now() + LAST_TAKEN_US, () -> endWhenEmpty(last));
