--- a/src/test/java/tinlink/net/ParserPlayer.java
+++ b/src/test/java/tinlink/net/ParserPlayer.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 
 /** Plays one input through its parser: whole, byte by byte, and cut in two at every byte. */
 public final class ParserPlayer implements HttpReader.Sink, FrameReader.Sink {
@@ -37,6 +38,19 @@
         for (int cut = 0; cut <= all.length; cut++) {
             assertEquals(expected, run(kind, all, cut, Integer.MAX_VALUE), "cut at " + cut);
         }
+        garbled(kind, all);
+    }
+
+    /** Whatever comes in, a parser reads it or refuses it: nothing else is thrown, however it is cut. */
+    private static void garbled(String kind, byte[] all) {
+        SplittableRandom chance = new SplittableRandom(all.length);
+        for (int i = 0; i < 200 && all.length > 0; i++) {
+            byte[] other = all.clone();
+            for (int n = chance.nextInt(1, 5); n > 0; n--) {
+                other[chance.nextInt(other.length)] = (byte) chance.nextInt(256);
+            }
+            assertEquals(run(kind, other, 0, 1), run(kind, other, chance.nextInt(other.length + 1), 1 << 20));
+        }
     }
 
     /** Bytes from their escaped form. */
