A request that stops in its middle gives its connection back

Such connections are not idle, so at the limit of descriptors they never gave way (Client, Intake.makeRoom). One whose request has not come whole within the longest hard deadline is answered 408 and ended, and so is one that does not take its last answer in that time.

--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -11,6 +11,7 @@
 import tinlink.net.HttpReader;
 import tinlink.net.JsonReader;
 import tinlink.net.Link;
+import tinlink.net.Loop;
 import tinlink.net.Ring;
 
 /** A client's connection: one request at a time, the next one is read when its answer has been given. */
@@ -28,6 +29,8 @@
     /** In hand; a close now means that its client has left. */
     private Query query;
     private boolean lastAnswer;
+    /** Runs while a request has begun and has not come whole. */
+    private Loop.Timer unfinishedLimit;
 
     Client(Intake intake) {
         this.intake = intake;
@@ -82,6 +85,19 @@
         if (isIdle()) {
             intake.idle(this);
         }
+        boolean unfinished = query == null && !lastAnswer && !reader.between();
+        if (unfinished == (unfinishedLimit == null)) {
+            intake.takeBack(unfinishedLimit);
+            unfinishedLimit = unfinished ? intake.whenTooLong(this::tooLong) : null;
+        }
+    }
+
+    /** Danger: requests that stop in their middle hold their connections, which are not idle, for ever. */
+    private void tooLong() {
+        unfinishedLimit = null;
+        bodyRead();
+        keep = false;
+        answer(Reply.plain(408, "the request took too long"));
     }
 
     @Override
@@ -189,6 +205,7 @@
     public void ended(Ending how) {
         LOG.log(Level.FINE, "client: {0}", how);
         intake.ended(this);
+        intake.takeBack(unfinishedLimit);
         bodyRead();
         if (query != null) {
             Query left = query;
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -24,6 +24,8 @@
     /** How long the other side may take to see a close. */
     private final long lingerUs;
     private final long mostReading;
+    /** No client waits for longer than this. */
+    private final long longestUs;
     /** Open client connections; each leaves as it ends. */
     private final Set<Client> clients = new LinkedHashSet<>();
     /** Those with nothing in hand, longest first. */
@@ -33,7 +35,7 @@
     private boolean stopping;
 
     Intake(Loop loop, Network network, Descriptors descriptors, QueryReader reader, ModuleTurn turn,
-           int openCap, long lingerUs, long mostReading) {
+           int openCap, long lingerUs, long mostReading, long longestUs) {
         this.loop = loop;
         this.network = network;
         this.descriptors = descriptors;
@@ -42,6 +44,7 @@
         this.openCap = openCap;
         this.lingerUs = lingerUs;
         this.mostReading = mostReading;
+        this.longestUs = longestUs;
     }
 
     // ---- The door. ----
@@ -108,14 +111,26 @@
         loop.ready(() -> network.accept(this));
     }
 
+    Loop.Timer whenTooLong(Runnable what) {
+        return loop.at(loop.now() + longestUs, what);
+    }
+
+    void takeBack(Loop.Timer t) {
+        loop.takeBack(t);
+    }
+
     /** It has had its last answer; if it does not end the connection itself, we do. */
     void leave(Client c) {
         busy(c);
+        leave(c, loop.now() + longestUs);
+    }
+
+    private void leave(Client c, long atLast) {
         loop.at(loop.now() + lingerUs, () -> {
-            if (c.link().isIdle()) {
+            if (c.link().isIdle() || loop.now() >= atLast) {
                 c.link().end(Ending.DONE);
             } else {
-                leave(c);
+                leave(c, atLast);
             }
         });
     }
--- a/src/main/java/tinlink/router/Reply.java
+++ b/src/main/java/tinlink/router/Reply.java
@@ -64,6 +64,7 @@
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
+            case 408 -> "Request Timeout";
             case 409 -> "Conflict";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -35,7 +35,7 @@
         Descriptors descriptors = new Descriptors(start.descriptors);
         PartSends sends = new PartSends(loop, network, descriptors, turn, start.links);
         intake = new Intake(loop, network, descriptors, new QueryReader(start.lookups), turn,
-                start.lookups.openCap(), start.links.connectUs(), start.mostReading);
+                start.lookups.openCap(), start.links.connectUs(), start.mostReading, start.longestUs);
         roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed,
                 start.names);
         sends.serves(intake);
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -84,7 +84,8 @@
         LOG.setUseParentHandlers(false);
         LOG.setLevel(Level.FINE);
         LOG.addHandler(handler);
-        String[] usual = {"sockets", "256", "memory", "192", "familyInfo.sets", "12", "familyInfo.reach", "2",
+        String[] usual = {"sockets", "256", "memory", "192",
+            "deadline", "8000", "familyInfo.sets", "12", "familyInfo.reach", "2",
             "familyInfo.slabs", "12", "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
             "familyInfo.minShare", "[0.5,1,1,1]", "limits.connectTimeoutMs", "2000",
             "limits.connIdleMs", "30000", "limits.streamsPerConn", "8", "limits.tryLimit", "3",
@@ -199,9 +200,10 @@
                 .collect(Collectors.joining(","));
     }
 
-    private static String profile(String name, String effect) {
+    private String profile(String name, String effect) {
         return "{\"name\":\"" + name + "\",\"effect\":\"" + effect
-                + "\",\"deadlineMs\":8000,\"onTimeMs\":3000,\"windowMs\":8000,\"worth\":1}";
+                + "\",\"deadlineMs\":" + settings.get("deadline")
+                + ",\"onTimeMs\":3000,\"windowMs\":8000,\"worth\":1}";
     }
 
     /** A module with a fault that comes back at every pull while a lookup on shard 11 is in hand. */
