Drains are kept even where the rest of a list entry can't be used

Seen in a read-through of Roster.entry: an entry with a bad endpoint or cell was left out whole, its word of draining with it, and sends to that node would have gone on. The state is taken first now. The scenario fails on the code before.

--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -136,6 +136,17 @@
             gone(uid);
             return;
         }
+        boolean ready = state.equals("in_service");
+        if (!ready && !state.equals("terminating")) {
+            LOG.warning("discovery: 'state' of " + uid + " is not known, nothing new goes there: " + state);
+        }
+        DataNode held = nodes.get(uid);
+        if (held != null && !ready) {
+            // Danger: drains are kept from the first word of them, whatever else of the entry can't be used.
+            held.state = DataNode.State.DRAINING;
+            turn.input(m -> m.listed(held, false));
+            sends.changed(sends.target(held), false);
+        }
         InetSocketAddress address;
         try {
             address = RouterStart.address(String.valueOf(fields.get("endpoint")));
@@ -147,11 +158,6 @@
             LOG.warning("discovery: 'pod_group' of " + uid + " is no number");
             return;
         }
-        boolean ready = state.equals("in_service");
-        if (!ready && !state.equals("terminating")) {
-            LOG.warning("discovery: 'state' of " + uid + " is not known, nothing new goes there: " + state);
-        }
-        DataNode held = nodes.get(uid);
         DataNode n = held == null ? new DataNode(nodesSeen++) : held;
         long startedAt = fields.get("boot_ms") instanceof Double ms && ms > 0
                 ? Math.round(1000 * ms) : Long.MIN_VALUE;
