Read-through: one way to tell of a node, one last answer, patterns compiled once

Decides and answers as before; no test changed. Roster told the module and the connections of a change in three places, and took a drain twice where the entry was good; the state is taken early only where the rest can't be used. Client ended a connection in three copies. The rule for names in lists and the default of limits.openCap stood twice. HttpReader returned what nobody read. Patterns were compiled for each request and each frame.

--- a/src/main/java/tinlink/net/FrameReader.java
+++ b/src/main/java/tinlink/net/FrameReader.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 
 /** Reads the frames of a data node, cut anywhere. */
 public final class FrameReader {
@@ -15,6 +16,7 @@
         void rejected(String words);
     }
 
+    private static final Set<String> ENDS = Set.of("OK", "ERROR", "REJECTED");
     private final Sink sink;
     private int head;
     private int length;
@@ -60,7 +62,7 @@
                     throw new BadMessage("a Y frame without its line");
                 }
                 String[] words = utf8(f.slice(f.position(), lf - f.position())).split(" ", -1);
-                if (words.length != 4 || words[0].isEmpty() || !words[1].matches("OK|ERROR|REJECTED")) {
+                if (words.length != 4 || words[0].isEmpty() || !ENDS.contains(words[1])) {
                     throw new BadMessage("a Y frame with a garbled line");
                 }
                 f.position(lf + 1);
--- a/src/main/java/tinlink/net/HttpReader.java
+++ b/src/main/java/tinlink/net/HttpReader.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Set;
 
 /** Reads HTTP/1.1 requests or answers, cut anywhere, one after another. */
 public final class HttpReader {
@@ -24,6 +25,7 @@
 
     private enum At { FIRST, FIELDS, BODY, TO_END, SIZE, CHUNK, CHUNK_END, TRAILERS }
 
+    private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
     private final Sink sink;
     private final boolean answers;
     private final long mostBody;
@@ -58,8 +60,8 @@
         return at == At.FIRST && line.length() == 0;
     }
 
-    /** Reads until one message is over or nothing is left; whether one is over. */
-    public boolean read(Ring in) throws BadMessage {
+    /** Reads until one message is over or nothing is left. */
+    public void read(Ring in) throws BadMessage {
         over = false;
         while (!over && in.size() > 0) {
             if (at == At.BODY || at == At.TO_END || at == At.CHUNK) {
@@ -68,7 +70,6 @@
                 letter(in.take());
             }
         }
-        return over;
     }
 
     private void piece(Ring in) throws BadMessage {
@@ -141,7 +142,7 @@
         String first = one < 0 ? "" : text.substring(0, one);
         String third = two < 0 ? "" : text.substring(two + 1);
         String version = answers ? first : third;
-        if (first.isEmpty() || (two < 0 && !answers) || !version.matches("HTTP/1\\.[01]")) {
+        if (first.isEmpty() || (two < 0 && !answers) || !VERSIONS.contains(version)) {
             throw new BadMessage("the first line is not of HTTP/1.1");
         }
         at = At.FIELDS;
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -2,10 +2,10 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import java.util.regex.Pattern;
 import tinlink.net.BadMessage;
 import tinlink.net.Ending;
 import tinlink.net.HttpReader;
@@ -17,6 +17,7 @@
 /** A client's connection: one request at a time, the next one is read when its answer has been given. */
 final class Client implements Link.Owner, HttpReader.Sink {
     private static final Logger LOG = Logger.getLogger("tinlink.intake");
+    private static final Pattern CLOSE = Pattern.compile("(?i)(.*,)?\\s*close\\s*(,.*)?");
     private final Intake intake;
     private final HttpReader reader = HttpReader.ofRequests(this);
     private final Map<String, String> fields = new HashMap<>();
@@ -47,9 +48,14 @@
         intake.leave(this);
     }
 
+    /** Nothing is in hand, a next request may come. */
+    private boolean awaits() {
+        return query == null && !lastAnswer;
+    }
+
     /** Nothing is in hand and nothing has been read of a next request. */
-    boolean isIdle() {
-        return query == null && !lastAnswer && reader.between();
+    private boolean isIdle() {
+        return awaits() && reader.between();
     }
 
     Link link() {
@@ -60,14 +66,12 @@
     public void arrived(Ring in) {
         intake.busy(this);
         try {
-            while (query == null && !lastAnswer && in.size() > 0) {
+            while (awaits() && in.size() > 0) {
                 reader.read(in);
             }
         } catch (BadMessage e) {
             LOG.log(Level.FINE, "a request is not used: {0}", e.getMessage());
-            bodyRead();
-            keep = false;
-            answer(Reply.plain(e.status, e.getMessage()));
+            lastAnswer(Reply.plain(e.status, e.getMessage()));
         } catch (RuntimeException e) {
             // Danger: a fault of ours must not leave the client without an answer, nor word a refusal.
             LOG.log(Level.SEVERE, "a request failed by a fault of ours", e);
@@ -76,8 +80,7 @@
             if (failed != null) {
                 intake.gone(failed);
             }
-            keep = false;
-            answer(Reply.plain(500, "a fault of the router"));
+            lastAnswer(Reply.plain(500, "a fault of the router"));
         }
         while (lastAnswer && in.size() > 0) {
             in.takeRun(in.size()); // Not read as a request, but taken: a reset would cut off the answer.
@@ -85,7 +88,7 @@
         if (isIdle()) {
             intake.idle(this);
         }
-        boolean unfinished = query == null && !lastAnswer && !reader.between();
+        boolean unfinished = awaits() && !reader.between();
         if (unfinished == (unfinishedLimit == null)) {
             intake.takeBack(unfinishedLimit);
             unfinishedLimit = unfinished ? intake.whenTooLong(this::tooLong) : null;
@@ -95,9 +98,14 @@
     /** Danger: requests that stop in their middle hold their connections, which are not idle, for ever. */
     private void tooLong() {
         unfinishedLimit = null;
+        lastAnswer(Reply.plain(408, "the request took too long"));
+    }
+
+    /** Of a request that was not read whole: the next one could not be told from its rest. */
+    private void lastAnswer(Reply reply) {
         bodyRead();
         keep = false;
-        answer(Reply.plain(408, "the request took too long"));
+        answer(reply);
     }
 
     @Override
@@ -120,7 +128,7 @@
     @Override
     public void headOver() throws BadMessage {
         String connection = fields.getOrDefault("connection", "");
-        keep = keep && !connection.toLowerCase(Locale.ROOT).matches("(.*,)?\\s*close\\s*(,.*)?");
+        keep = keep && !CLOSE.matcher(connection).matches();
         String wants = switch (path) {
             case "/api" -> "POST";
             case "/-/ready" -> "GET";
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -82,13 +82,13 @@
         }
     }
 
-    /** What ends while decisions are carried out is an input of the next turn. */
-    void outcome(Sent s, Outcome how, long reportedUs) {
+    /** What ends while decisions are carried out is an input of the next turn. No report is passed on. */
+    void outcome(Sent s, Outcome how) {
         long tookUs = loop.now() - s.call.sentAt;
         input(m -> {
             if (s.call.outcome == null) {
                 touched.add(s.segment().query());
-                m.outcome(s.call, how, tookUs, reportedUs);
+                m.outcome(s.call, how, tookUs, -1);
             }
         });
     }
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -183,7 +183,7 @@
         } else {
             s.bundle.open--;
         }
-        turn.outcome(s, how, -1);
+        turn.outcome(s, how);
     }
 
     // ---- Links. ----
--- a/src/main/java/tinlink/router/QueryReader.java
+++ b/src/main/java/tinlink/router/QueryReader.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 import tinlink.decision.Index;
 import tinlink.decision.Part;
 import tinlink.net.BadMessage;
@@ -13,6 +14,9 @@
 
 /** Makes a query from the head and the body of a client's request, or says what is wrong with them. */
 final class QueryReader {
+    private static final Pattern CALL_ID = Pattern.compile("[A-Za-z0-9_-]{1,64}");
+    private static final Pattern BUDGET = Pattern.compile("[0-9]{1,9}");
+    private static final Pattern KEY = Pattern.compile("[!-+.-~-]{1,128}");
     private final RouterStart.Lookups may;
 
     QueryReader(RouterStart.Lookups may) {
@@ -20,14 +24,14 @@
     }
 
     Query read(Map<String, String> fields, JsonReader body, Client client, long now) throws BadMessage {
-        String callId = matching(fields, "x-call-id", "[A-Za-z0-9_-]{1,64}");
+        String callId = matching(fields, "x-call-id", CALL_ID);
         Index index = may.indexes().get(fields.getOrDefault("x-call-class", ""));
         if (index == null) {
             throw new BadMessage(400, "X-Call-Class: no such class");
         }
-        long budgetUs = 1000 * Long.parseLong(matching(fields, "x-budget-ms", "[0-9]{1,9}"));
+        long budgetUs = 1000 * Long.parseLong(matching(fields, "x-budget-ms", BUDGET));
         String key = index.effect == Index.Effect.FINGERPRINTED
-                ? matching(fields, "idempotency-key", "[!-+.-~-]{1,128}") : null;
+                ? matching(fields, "idempotency-key", KEY) : null;
         if (!(body.value() instanceof Map<?, ?> map)) {
             throw new BadMessage(400, "the body is no object");
         }
@@ -42,10 +46,10 @@
         return q;
     }
 
-    private static String matching(Map<String, String> fields, String name, String pattern)
+    private static String matching(Map<String, String> fields, String name, Pattern pattern)
             throws BadMessage {
         String value = fields.get(name);
-        if (value == null || !value.matches(pattern)) {
+        if (value == null || !pattern.matcher(value).matches()) {
             throw new BadMessage(400, name + (value == null ? ": missing" : ": not of its form"));
         }
         return value;
@@ -77,5 +81,4 @@
         }
         q.announced = q.parts.size();
     }
-
 }
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -23,6 +23,7 @@
 import tinlink.net.Network;
 import tinlink.net.Protocol;
 import tinlink.net.Ring;
+import tinlink.start.Figures;
 import tinlink.start.RouterStart;
 
 /** The list of data nodes: what was known at the start, and the watch on discovery that keeps it up. */
@@ -56,7 +57,7 @@
         }
 
         int of(String name) {
-            String plain = name.replaceAll("[ ,]", "_");
+            String plain = Figures.plain(name);
             if (!names.contains(plain)) {
                 names.add(plain);
             }
@@ -125,11 +126,15 @@
         DataNode n = nodes.remove(uid);
         if (n != null) {
             n.state = DataNode.State.GONE;
-            turn.input(m -> m.listed(n, false));
-            sends.changed(sends.target(n), false);
+            told(n, false, false);
         }
     }
 
+    private void told(DataNode n, boolean restarted, boolean moved) {
+        turn.input(m -> m.listed(n, restarted));
+        sends.changed(sends.target(n), moved || restarted);
+    }
+
     private void entry(String uid, Map<?, ?> fields) {
         String state = String.valueOf(fields.get("state"));
         if (state.equals("terminated")) {
@@ -141,21 +146,14 @@
             LOG.warning("discovery: 'state' of " + uid + " is not known, nothing new goes there: " + state);
         }
         DataNode held = nodes.get(uid);
-        if (held != null && !ready) {
+        InetSocketAddress address = address(uid, String.valueOf(fields.get("endpoint")));
+        Double cell = address == null ? null : cell(uid, fields.get("pod_group"));
+        if (cell == null) {
             // Danger: drains are kept from the first word of them, whatever else of the entry can't be used.
-            held.state = DataNode.State.DRAINING;
-            turn.input(m -> m.listed(held, false));
-            sends.changed(sends.target(held), false);
-        }
-        InetSocketAddress address;
-        try {
-            address = RouterStart.address(String.valueOf(fields.get("endpoint")));
-        } catch (IllegalArgumentException e) {
-            LOG.warning("discovery: 'endpoint' of " + uid + " is no address: " + fields.get("endpoint"));
-            return;
-        }
-        if (!(fields.get("pod_group") instanceof Double cell)) {
-            LOG.warning("discovery: 'pod_group' of " + uid + " is no number");
+            if (held != null && !ready) {
+                held.state = DataNode.State.DRAINING;
+                told(held, false, false);
+            }
             return;
         }
         DataNode n = held == null ? new DataNode(nodesSeen++) : held;
@@ -172,8 +170,24 @@
         Target t = sends.target(n);
         boolean moved = t.address != null && !t.address.equals(address);
         t.address = address;
-        turn.input(m -> m.listed(n, restarted));
-        sends.changed(t, moved || restarted);
+        told(n, restarted, moved);
+    }
+
+    private static InetSocketAddress address(String uid, String endpoint) {
+        try {
+            return RouterStart.address(endpoint);
+        } catch (IllegalArgumentException e) {
+            LOG.warning("discovery: 'endpoint' of " + uid + " is no address: " + endpoint);
+            return null;
+        }
+    }
+
+    private static Double cell(String uid, Object group) {
+        if (group instanceof Double cell) {
+            return cell;
+        }
+        LOG.warning("discovery: 'pod_group' of " + uid + " is no number");
+        return null;
     }
 
     // ---- The watch. ----
--- a/src/main/java/tinlink/start/Figures.java
+++ b/src/main/java/tinlink/start/Figures.java
@@ -47,7 +47,7 @@
             boolean plain = list.stream().noneMatch(v -> v instanceof Map || v instanceof List);
             if (plain) {
                 List<String> all = new ArrayList<>();
-                list.forEach(v -> all.add(String.valueOf(v).replaceAll("[ ,]", "_")));
+                list.forEach(v -> all.add(plain(String.valueOf(v))));
                 pairs.put(path, String.join(",", all));
             } else {
                 pairs.put(path + ".count", String.valueOf(list.size()));
@@ -60,6 +60,11 @@
         }
     }
 
+    /** A name as it stands in a list of plain values. */
+    public static String plain(String name) {
+        return name.replaceAll("[ ,]", "_");
+    }
+
     boolean has(String path) {
         String value = pairs.get(path);
         return value != null && !value.isEmpty() && !value.equals("-");
--- a/src/main/java/tinlink/start/ModuleStart.java
+++ b/src/main/java/tinlink/start/ModuleStart.java
@@ -8,6 +8,8 @@
 public final class ModuleStart {
     public final Index[] indexes;
     public final Aggregator module;
+    /** Lookups and parts that may be in hand. */
+    final int openCap;
 
     public ModuleStart(long seed, Figures f) {
         indexes = new Index[f.whole("profiles.count", 0)];
@@ -16,7 +18,7 @@
             indexes[i] = index(f, i);
             longestSoft = Math.max(longestSoft, indexes[i].softUs);
         }
-        int openCap = f.whole("limits.openCap", 1000);
+        openCap = f.whole("limits.openCap", 1000);
         FastestValid.Health health = new FastestValid.Health(longestSoft);
         module = new FastestValid(
                 new FastestValid.Rounds(f.micros("stepMs", 1000), f.whole("limits.tryLimit", 1),
--- a/src/main/java/tinlink/start/RouterStart.java
+++ b/src/main/java/tinlink/start/RouterStart.java
@@ -89,7 +89,7 @@
         }
         longestUs = longest;
         lookups = new Lookups(indexes, least(f, "familyInfo.slabs", 1, 1),
-                least(f, "limits.openCap", 1000, 1));
+                least(f, "limits.openCap", built.openCap, 1));
         long connectUs = positive(f, "limits.connectTimeoutMs", 250_000);
         links = new Links(connectUs, positive(f, "limits.connIdleMs", 30_000_000),
                 least(f, "limits.streamsPerConn", 1, 1), f.flag("limits.cancel"));
