SIGHUP reads the configuration again and moves discovery to its new address

Cause: nothing in Main handles SIGHUP, which ends a JVM in order; and RouterStart let NODE_DISCOVERY win over the file, so a reload would never have moved. Now the signal is one more queued input: the file is read and checked as a whole, discovery's watch is opened at the new address from the revision held, lookups in hand and the list stay. What can't be used is one log line with its key. A watch that ends is opened again within 0.75 s instead of 6: the agent is on the router's own machine.

--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -8,6 +8,7 @@
 import tinlink.benchlink.BenchLink;
 import tinlink.router.Router;
 import tinlink.start.BadInput;
+import tinlink.start.Hangup;
 import tinlink.start.KeptLogs;
 import tinlink.start.RouterStart;
 
@@ -41,6 +42,7 @@
             log.setUseParentHandlers(false);
             log.setLevel(start.logLevel);
             Router router = new Router(start, start.built.module);
+            Hangup.hear(router::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     router.stopAndWait();
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -31,12 +31,14 @@
     private static final Logger LOG = Logger.getLogger("tinlink.roster");
     private static final int SILENT_LINES = 3;
     private static final long FIRST_WAIT_US = Protocol.WATCH_LINE_US / 16;
+    /** Discovery's agent is on this router's own machine: asking it often costs nobody anything. */
+    private static final long LONGEST_WAIT_US = Protocol.WATCH_LINE_US / 4;
 
     private final Loop loop;
     private final Network network;
     private final ModuleTurn turn;
     private final PartSends sends;
-    private final InetSocketAddress discovery;
+    private InetSocketAddress discovery;
     private final boolean pushed;
     private final SplittableRandom random;
     private final Numbers zones;
@@ -207,6 +209,24 @@
         }
     }
 
+    /** Discovery is elsewhere from now on; the list held stays until the new place tells more. */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(discovery)) {
+            return;
+        }
+        LOG.log(Level.INFO, "discovery: it moves to {0}, the list of {1} nodes is kept",
+                new Object[] {to, nodes.size()});
+        discovery = to;
+        waitUs = FIRST_WAIT_US;
+        Watch old = watch;
+        watch = null;
+        if (old != null) {
+            loop.takeBack(old.silence);
+            old.link.end(Ending.GONE);
+        }
+        follow();
+    }
+
     /** Danger: routers that all come back at once; each waits a time of its own, longer each time. */
     private void lost(Watch w, Ending how) {
         if (watch != w) {
@@ -215,7 +235,7 @@
         watch = null;
         loop.takeBack(w.silence);
         long us = waitUs / 2 + random.nextLong(waitUs);
-        waitUs = Math.min(2 * waitUs, 2 * Protocol.WATCH_LINE_US);
+        waitUs = Math.min(2 * waitUs, LONGEST_WAIT_US);
         LOG.log(Level.WARNING, "discovery: the watch ended ({0}), the list of {1} nodes is kept",
                 new Object[] {how, nodes.size()});
         turn.input(m -> m.nodes(Aggregator.News.FAILED));
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -8,6 +8,7 @@
 import tinlink.decision.Aggregator;
 import tinlink.net.Loop;
 import tinlink.net.Network;
+import tinlink.start.BadInput;
 import tinlink.start.RouterStart;
 
 /** One query router: built from its start, then run until it is told to stop. */
@@ -23,7 +24,8 @@
     private final ModuleTurn turn;
     private final Intake intake;
     private final Roster roster;
-    private final RouterStart start;
+    /** As the configuration was last read. */
+    private RouterStart start;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch over = new CountDownLatch(1);
 
@@ -53,8 +55,9 @@
             }
             network.accept(intake);
             listening.countDown();
-            LOG.log(Level.INFO, "{0} serves at {1} with {2} data nodes",
-                    new Object[] {start.name, String.valueOf(network.address()), roster.size()});
+            LOG.log(Level.INFO, "{0} serves at {1} with {2} data nodes, {3} descriptors and {4} MB",
+                    new Object[] {start.name, String.valueOf(network.address()), roster.size(),
+                        start.descriptors, start.memoryMb});
             loop.run(turn);
             LOG.log(Level.INFO, "{0} has stopped, {1} lookups and parts in hand",
                     new Object[] {start.name, turn.open()});
@@ -78,6 +81,19 @@
         loop.ready(loop::end);
     }
 
+    /** From another thread: reads the configuration again, and goes on with what it had if that can't be used. */
+    public void reload() {
+        loop.ready(() -> {
+            try {
+                start = start.again();
+                roster.moveTo(start.discovery);
+                LOG.log(Level.INFO, "{0} has read its configuration again", start.name);
+            } catch (BadInput e) {
+                LOG.log(Level.WARNING, "reload: {0}; all stays as it was", e.getMessage());
+            }
+        });
+    }
+
     /** From another thread: stops in order and returns when that is done. */
     public void stopAndWait() throws InterruptedException {
         loop.ready(this::stop);
--- a/src/main/java/tinlink/start/RouterStart.java
+++ b/src/main/java/tinlink/start/RouterStart.java
@@ -15,12 +15,19 @@
 /**
  * What a router is started with: the file named by NODE_CONFIG, and NODE_NAME, NODE_LISTEN and
  * NODE_DISCOVERY, which win over it. Everything is checked here; a message names the key at fault.
+ *
+ * <p>At a reload the file is read and checked again as a whole. Of what it says only the address of discovery
+ * is taken over by a router that serves.
  */
 public final class RouterStart {
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress discovery;
+    /** What the file itself says of it. */
+    private final String discoveryInFile;
+    private final Map<String, String> env;
     public final int descriptors;
+    public final double memoryMb;
     /** Bodies that are being read may be so long together. */
     public final long mostReading;
     /** Whether discovery tells changes on its own; if not, the module says when to ask. */
@@ -49,6 +56,16 @@
     }
 
     public RouterStart(Map<String, String> env) {
+        this(env, null);
+    }
+
+    /** What the file says now. */
+    public RouterStart again() {
+        return new RouterStart(env, this);
+    }
+
+    private RouterStart(Map<String, String> env, RouterStart before) {
+        this.env = env;
         String file = env.get("NODE_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new BadInput("environment: 'NODE_CONFIG' is missing");
@@ -58,11 +75,17 @@
                 "discovery", or(tree, "discovery"), "seed", or(tree, "seed"), "limits", or(tree, "limits")));
         name = env.getOrDefault("NODE_NAME", top.text("name", "router"));
         listen = address(top, "listen", env.getOrDefault("NODE_LISTEN", top.text("listen", "")));
-        discovery = address(top, "discovery", env.getOrDefault("NODE_DISCOVERY", top.text("discovery", "")));
+        // Danger: NODE_DISCOVERY is of the start. Were it to win over a file that has changed since, a reload
+        // would never leave an address that is about to close.
+        discoveryInFile = top.text("discovery", "");
+        discovery = before == null
+                ? address(top, "discovery", env.getOrDefault("NODE_DISCOVERY", discoveryInFile))
+                : discoveryInFile.equals(before.discoveryInFile) ? before.discovery
+                : address(top, "discovery", discoveryInFile);
         logLevel = level(env.getOrDefault("NODE_LOG", "INFO"));
         // What is made of a body while it is read is up to 16 times as large; half the heap is for the rest.
-        mostReading = (long) Math.min(Runtime.getRuntime().maxMemory() / 32.0,
-                top.number("limits.memory_mb", 192) * (1 << 20) / 96);
+        memoryMb = top.number("limits.memory_mb", 192);
+        mostReading = (long) Math.min(Runtime.getRuntime().maxMemory() / 32.0, memoryMb * (1 << 20) / 96);
         if (mostReading <= 0) {
             throw top.bad("limits.memory_mb", "is no memory to serve with");
         }
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -42,6 +42,7 @@
 import tinlink.decision.PartCall;
 import tinlink.net.ParserPlayer;
 import tinlink.router.Router;
+import tinlink.start.Hangup;
 import tinlink.start.RouterStart;
 
 /**
@@ -75,6 +76,8 @@
     private final Map<String, StandIn> standIns = new LinkedHashMap<>();
     private final Map<String, Client> clients = new HashMap<>();
     private final StandIn discovery = new StandIn("disc", 0);
+    /** Where discovery moves to. */
+    private final StandIn other = new StandIn("other", 0);
     private Router router;
     private Thread stopping;
     private boolean faulty;
@@ -128,6 +131,7 @@
             }
             case "start" -> {
                 discovery.accept();
+                other.accept();
                 start();
             }
             case "crowd" -> {
@@ -157,6 +161,12 @@
                 assertEquals(true, next != null, "nothing like it was logged");
             }
             case "disc" -> discovery.line(w[1], rest);
+            case "other" -> other.line(w[1], rest);
+            case "configured" -> Files.writeString(config(), line.substring(w[0].length()).trim()
+                    .replace("OTHER", "127.0.0.1:" + other.port()));
+            case "moves" -> Files.writeString(config(), Files.readString(config())
+                    .replace(":" + discovery.port() + "\"", ":" + other.port() + "\""));
+            case "hangup" -> new ProcessBuilder("kill", "-HUP", "" + ProcessHandle.current().pid()).start();
             default -> {
                 if (standIns.containsKey(w[0])) {
                     standIns.get(w[0]).line(w[1], rest);
@@ -171,8 +181,7 @@
 
     private void start() throws Exception {
         String known = standIns.values().stream().map(StandIn::entry).collect(Collectors.joining(","));
-        Path config = dir.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
                 + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
                 + settings.get("sockets") + ",\"memory_mb\":" + settings.get("memory")
                 + "},\"known\":{\"rev\":41,\"all\":true,\"targets\":[" + known
@@ -182,7 +191,8 @@
                 + profile("any", "pure") + "," + profile("all", "pure") + ","
                 + profile("pay", "token") + "," + profile("once", "side_effect") + "]"
                 + "}}");
-        RouterStart from = new RouterStart(Map.of("NODE_CONFIG", config.toString(), "NODE_LOG", "OFF"));
+        RouterStart from = new RouterStart(Map.of("NODE_CONFIG", config().toString(), "NODE_LOG", "OFF",
+                "NODE_DISCOVERY", "127.0.0.1:" + discovery.port()));
         router = new Router(from, faulty ? new Faulty(from.built.module) : from.built.module);
         new Thread(() -> {
             try {
@@ -192,6 +202,11 @@
             }
         }).start();
         router.awaitListening();
+        Hangup.hear(router::reload);
+    }
+
+    private Path config() {
+        return dir.resolve("config.json");
     }
 
     private String group(String prefix) {
@@ -335,7 +350,7 @@
         private void listen(Socket s) {
             try {
                 InputStream in = s.getInputStream();
-                if (cell == 0 && name.equals("disc")) {
+                if (this == discovery || this == other) {
                     heard.add(head(in).split(" ")[1]);
                     s.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                             .getBytes(StandardCharsets.UTF_8));
@@ -551,6 +566,7 @@
             router.end();
         }
         discovery.close();
+        other.close();
         for (StandIn s : standIns.values()) {
             s.close();
         }
