Clients owe a whole request in time; silent ones go first, bad shares and ids are turned away

At fault: Intake.whenTooLong, Intake.closeIdle (idle longest first, which may be a usual client), Client.arrived (after the last answer everything is read, without bound), QueryReader.segments (scales shares that don't add up to 1), Client.field (takes a second Idempotency-Key), Intake.read (an id that is just over is taken again). Now a connection with nothing in hand has 2.25 s to bring a whole request, from connecting at the first one.

--- a/src/main/java/tinlink/net/Protocol.java
+++ b/src/main/java/tinlink/net/Protocol.java
@@ -8,6 +8,10 @@
     public static final int MOST_HEAD = 16 << 10;
     /** Unread bytes that a link holds at most. */
     static final int MOST_HELD = MOST_BODY;
+    /** A client's connection with no open request may be closed after this. */
+    public static final long CLIENT_FREE_US = 2_000_000;
+    /** Whoever connects is owed an error or a close within this, unless a whole request of its is in hand. */
+    public static final long CLIENT_OWED_US = 3_000_000;
     /** While nothing changes, discovery writes an empty line this often. */
     public static final long WATCH_LINE_US = 2_000_000;
 
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -12,12 +12,14 @@
 import tinlink.net.JsonReader;
 import tinlink.net.Link;
 import tinlink.net.Loop;
+import tinlink.net.Protocol;
 import tinlink.net.Ring;
 
 /** A client's connection: one request at a time, the next one is read when its answer has been given. */
 final class Client implements Link.Owner, HttpReader.Sink {
     private static final Logger LOG = Logger.getLogger("tinlink.intake");
     private static final Pattern CLOSE = Pattern.compile("(?i)(.*,)?\\s*close\\s*(,.*)?");
+    private static final Pattern ONCE = Pattern.compile("x-.*|idempotency-key|content-length|host");
     private final Intake intake;
     private final HttpReader reader = HttpReader.ofRequests(this);
     private final Map<String, String> fields = new HashMap<>();
@@ -30,8 +32,13 @@
     /** In hand; a close now means that its client has left. */
     private Query query;
     private boolean lastAnswer;
-    /** Runs while a request has begun and has not come whole. */
-    private Loop.Timer unfinishedLimit;
+    /** It has had an answer. */
+    private boolean known;
+    /** Bytes taken and not read after the last answer. */
+    private int unread;
+    /** Runs while nothing is in hand: until then a whole request has to come. */
+    private Loop.Timer limit;
+    private boolean begun;
 
     Client(Intake intake) {
         this.intake = intake;
@@ -44,10 +51,19 @@
     /** Danger: a request that crosses the close is lost once read; unread, its client asks elsewhere. */
     void letGo() {
         lastAnswer = true;
+        intake.takeBack(limit);
+        limit = null;
         link.halfClose();
         intake.leave(this);
     }
 
+    /** Nothing is in hand from that time on. */
+    void awaits(long since) {
+        intake.takeBack(limit);
+        begun = false;
+        limit = intake.whenTooLong(since, this::tooLong);
+    }
+
     /** Nothing is in hand, a next request may come. */
     private boolean awaits() {
         return query == null && !lastAnswer;
@@ -82,23 +98,29 @@
             }
             lastAnswer(Reply.plain(500, "a fault of the router"));
         }
-        while (lastAnswer && in.size() > 0) {
-            in.takeRun(in.size()); // Not read as a request, but taken: a reset would cut off the answer.
+        while (lastAnswer && in.size() > 0 && unread < Protocol.MOST_BODY) {
+            // Not read as a request, but taken: a reset would cut off the answer. Danger: what a client that
+            // sends without end is sent takes the time of all others; past the bound its bytes stay where they are.
+            unread += in.takeRun(in.size()).remaining();
         }
         if (isIdle()) {
             intake.idle(this);
-        }
-        boolean unfinished = awaits() && !reader.between();
-        if (unfinished == (unfinishedLimit == null)) {
-            intake.takeBack(unfinishedLimit);
-            unfinishedLimit = unfinished ? intake.whenTooLong(this::tooLong) : null;
+        } else if (awaits() && known && !begun) {
+            awaits(intake.now()); // Its next request has begun, and has its own time.
+            begun = true;
         }
     }
 
-    /** Danger: requests that stop in their middle hold their connections, which are not idle, for ever. */
+    /** Danger: connections that say nothing, or stop in the middle of a request, would be held for ever. */
     private void tooLong() {
-        unfinishedLimit = null;
-        lastAnswer(Reply.plain(408, "the request took too long"));
+        limit = null;
+        if (!isIdle()) {
+            lastAnswer(Reply.plain(408, "the request took too long"));
+        } else if (known) {
+            letGo();
+        } else {
+            link.end(Ending.IDLE);
+        }
     }
 
     /** Of a request that was not read whole: the next one could not be told from its rest. */
@@ -120,7 +142,8 @@
 
     @Override
     public void field(String name, String value) throws BadMessage {
-        if (fields.put(name, value) != null && name.startsWith("x-")) {
+        // Danger: of a field that comes twice, we and whoever stands before us could go by different ones.
+        if (fields.put(name, value) != null && ONCE.matcher(name).matches()) {
             throw new BadMessage(400, name + ": twice");
         }
     }
@@ -179,6 +202,8 @@
             return;
         }
         query = q;
+        intake.takeBack(limit);
+        limit = null;
         intake.take(q);
     }
 
@@ -195,10 +220,15 @@
 
     private void answer(Reply reply) {
         lastAnswer = !keep || intake.stopping();
+        known = true;
         reply.write(link.out(), lastAnswer);
         link.later();
         if (lastAnswer) {
+            intake.takeBack(limit);
+            limit = null;
             intake.leave(this);
+        } else {
+            awaits(intake.now());
         }
     }
 
@@ -213,7 +243,7 @@
     public void ended(Ending how) {
         LOG.log(Level.FINE, "client: {0}", how);
         intake.ended(this);
-        intake.takeBack(unfinishedLimit);
+        intake.takeBack(limit);
         bodyRead();
         if (query != null) {
             Query left = query;
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -1,6 +1,7 @@
 package tinlink.router;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.logging.Level;
@@ -11,6 +12,7 @@
 import tinlink.net.Link;
 import tinlink.net.Loop;
 import tinlink.net.Network;
+import tinlink.net.Protocol;
 
 /** Lets clients in and hands their queries to the module's turn. */
 final class Intake implements Network.Door {
@@ -28,7 +30,9 @@
     private final long longestUs;
     /** Open client connections; each leaves as it ends. */
     private final Set<Client> clients = new LinkedHashSet<>();
-    /** Those with nothing in hand, longest first. */
+    /** Those that have had their last answer, that have said nothing yet, that have nothing in hand now. */
+    private final Set<Client> leaving = new LinkedHashSet<>();
+    private final Set<Client> silent = new LinkedHashSet<>();
     private final Set<Client> idle = new LinkedHashSet<>();
     /** Bytes of bodies that are being read. */
     private long reading;
@@ -61,7 +65,8 @@
         c.on(link);
         clients.add(c);
         makeRoom();
-        idle.add(c);
+        silent.add(c);
+        c.awaits(loop.now());
     }
 
     private void makeRoom() {
@@ -82,19 +87,28 @@
         loop.at(loop.now() + lingerUs, () -> network.accept(this));
     }
 
-    /** Closes the client connection that has been idle longest, which its client then opens anew. */
+    /**
+     * Closes one client connection that nothing is in hand on, which its client then opens anew. Danger: clients
+     * that connect by the hundreds and say nothing would push out the usual ones; they go first, right after
+     * those that are over but for their end.
+     */
     boolean closeIdle() {
-        if (idle.isEmpty()) {
-            return false;
+        for (Set<Client> some : List.of(leaving, silent, idle)) {
+            for (Client c : some) {
+                if (some != leaving || c.link().isIdle()) {
+                    c.link().end(Ending.IDLE);
+                    return true;
+                }
+            }
         }
-        idle.iterator().next().link().end(Ending.IDLE);
-        return true;
+        return false;
     }
 
     // ---- What clients say. ----
 
     void busy(Client c) {
         idle.remove(c);
+        silent.remove(c);
     }
 
     void idle(Client c) {
@@ -106,13 +120,19 @@
 
     void ended(Client c) {
         clients.remove(c);
-        idle.remove(c);
+        leaving.remove(c);
+        busy(c);
         descriptors.clientClosed();
         loop.ready(() -> network.accept(this));
     }
 
-    Loop.Timer whenTooLong(Runnable what) {
-        return loop.at(loop.now() + longestUs, what);
+    /** Between the two times that the protocol gives: after that, a connection with nothing in hand is closed. */
+    Loop.Timer whenTooLong(long sinceUs, Runnable what) {
+        return loop.at(sinceUs + (3 * Protocol.CLIENT_FREE_US + Protocol.CLIENT_OWED_US) / 4, what);
+    }
+
+    long now() {
+        return loop.now();
     }
 
     void takeBack(Loop.Timer t) {
@@ -122,6 +142,7 @@
     /** It has had its last answer; if it does not end the connection itself, we do. */
     void leave(Client c) {
         busy(c);
+        leaving.add(c);
         leave(c, loop.now() + longestUs);
     }
 
@@ -149,8 +170,8 @@
 
     Query read(Map<String, String> fields, JsonReader body, Client c) throws BadMessage {
         Query q = reader.read(fields, body, c, loop.now());
-        if (turn.holds(q.callId)) {
-            throw new BadMessage(409, "x-call-id: one of that id is in hand");
+        if (turn.knows(q.callId)) {
+            throw new BadMessage(409, "x-call-id: one of that id is or was in hand");
         }
         return q;
     }
@@ -185,6 +206,7 @@
     void closeDoor() {
         network.stopAccepting();
         Set.copyOf(idle).forEach(Client::letGo);
+        Set.copyOf(silent).forEach(Client::letGo);
     }
 
     boolean isEmpty() {
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +28,9 @@
     private final Aggregator module;
     /** Queries in hand; each leaves with its answer or its client. */
     private final Map<String, Query> queries = new HashMap<>();
+    /** Ids of queries that are over, and since when; each leaves after the time that a client waits at most. */
+    private final Map<String, Long> ended = new LinkedHashMap<>();
+    private final long keptUs;
     /** Queries with inputs in this turn; emptied at its end. */
     private final Set<Query> touched = new LinkedHashSet<>();
     /** What this turn's decisions ask for; emptied at its end. */
@@ -35,8 +40,9 @@
     private PartSends sends;
     private Runnable follow;
 
-    ModuleTurn(Loop loop, Aggregator module) {
+    ModuleTurn(Loop loop, Aggregator module, long keptUs) {
         this.loop = loop;
+        this.keptUs = keptUs;
         this.module = module;
     }
 
@@ -52,8 +58,16 @@
         module.clock(nowUs);
     }
 
-    boolean holds(String callId) {
-        return queries.containsKey(callId);
+    /**
+     * Danger: a lookup that takes the id of another, in hand or just over, would run parts that data nodes take
+     * for those of the other.
+     */
+    boolean knows(String callId) {
+        long old = loop.now() - keptUs;
+        for (Iterator<Long> at = ended.values().iterator(); at.hasNext() && at.next() <= old;) {
+            at.remove();
+        }
+        return queries.containsKey(callId) || ended.containsKey(callId);
     }
 
     /** Lookups and parts in hand. */
@@ -144,6 +158,7 @@
     private void drop(Query q) {
         if (queries.remove(q.callId, q)) {
             parts -= q.announced;
+            ended.put(q.callId, loop.now());
         }
     }
 
--- a/src/main/java/tinlink/router/QueryReader.java
+++ b/src/main/java/tinlink/router/QueryReader.java
@@ -17,6 +17,8 @@
     private static final Pattern CALL_ID = Pattern.compile("[A-Za-z0-9_-]{1,64}");
     private static final Pattern BUDGET = Pattern.compile("[0-9]{1,9}");
     private static final Pattern KEY = Pattern.compile("[!-+.-~-]{1,128}");
+    /** So much may be lost of each share as it is written. */
+    private static final double ROUNDED = 1e-3;
     private final RouterStart.Lookups may;
 
     QueryReader(RouterStart.Lookups may) {
@@ -69,13 +71,17 @@
                     || shard >= may.shards() || !seen.add(shard.intValue())) {
                 throw new BadMessage(400, "segment: no such shard, or twice");
             }
-            if (!(map.get("boost") instanceof Double boost) || !(boost > 0) || boost > 1e9) {
+            if (!(map.get("boost") instanceof Double boost) || !(boost > 0) || boost > 1) {
                 throw new BadMessage(400, "boost: no share");
             }
             q.parts.add(new Segment(q, shard.intValue(), boost));
             sum += boost;
         }
-        // Danger: shares that add up to more than one would let too few parts pass for a whole answer.
+        // Danger: shares that add up to more than one would let too few parts pass for a whole answer, and
+        // parts of a lookup that nobody asked for in this form are void.
+        if (Math.abs(sum - 1) > ROUNDED * (1 + q.parts.size())) {
+            throw new BadMessage(400, "boost: the shares don't add up to 1");
+        }
         for (Part p : q.parts) {
             p.weight /= sum;
         }
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -33,7 +33,7 @@
     public Router(RouterStart start, Aggregator module) throws IOException {
         this.start = start;
         network = new Network(loop);
-        turn = new ModuleTurn(loop, module);
+        turn = new ModuleTurn(loop, module, start.longestUs);
         Descriptors descriptors = new Descriptors(start.descriptors);
         PartSends sends = new PartSends(loop, network, descriptors, turn, start.links);
         intake = new Intake(loop, network, descriptors, new QueryReader(start.lookups), turn,
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -120,6 +120,11 @@
         switch (w[0]) {
             case "set" -> settings.put(w[1], rest);
             case "faulty" -> faulty = true;
+            case "within" -> {
+                long from = System.nanoTime();
+                line(rest);
+                assertEquals(true, System.nanoTime() - from < 1_000_000 * Long.parseLong(w[1]), "too late");
+            }
             case "node" -> {
                 StandIn s = new StandIn(w[1], Integer.parseInt(rest.split(" ")[0]));
                 standIns.put(w[1], s);
@@ -503,10 +508,24 @@
                 case "<" -> assertEquals(rest, rest.equals("end") ? end()
                         : rest.equals("nothing") ? quiet() : answer());
                 case "leaves" -> socket.close();
+                case "floods" -> assertEquals(true, flood() < 20 << 20, "so much was taken");
                 default -> throw new IllegalArgumentException(what);
             }
         }
 
+        /** Sends until the router has ended the connection; how much went. */
+        private int flood() {
+            int sent = 0;
+            try {
+                for (byte[] block = new byte[1 << 16]; sent < 1 << 30; sent += block.length) {
+                    socket.getOutputStream().write(block);
+                }
+            } catch (IOException e) {
+                // That is the end.
+            }
+            return sent;
+        }
+
         private void write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         }
