A spoilt answer is one failed call, told at once; it no longer makes nodes look dying

A probe that logged late lookups showed their calls as CONNECTION_LOST by BAD_INPUT. Ruled out: the loop was not late, the processor not full then. Now the oldest call on the connection counts as an error and the others as given up; a connection that has carried answers and is closed in order speaks of no call; lines are checked as they come, a report may hold anything, a frame has the connect time to come whole. A bad frame is no longer a warning: a peer could write the log full.

--- a/src/main/java/tinlink/net/Ending.java
+++ b/src/main/java/tinlink/net/Ending.java
@@ -34,17 +34,22 @@
     FAULT;
 
     /**
-     * Danger: a part call taken for one that never ran may have its effect twice.
+     * Danger: a part call taken for one that never ran may have its effect twice. And calls that only shared the
+     * connection, taken for calls that failed, make a node look dying that has lost one answer, or has closed a
+     * connection between two.
      *
      * @param left the last byte of its frame was handed to the kernel, or may have been
+     * @param meant it is this call that the ending speaks of, not one that only shared the connection
      */
-    public Outcome outcome(boolean left) {
+    public Outcome outcome(boolean left, boolean meant) {
+        Outcome beside = left ? Outcome.CANCELLED : Outcome.NOT_SENT;
         return switch (this) {
             case NO_SOCKET -> Outcome.NOT_SENT;
             case REFUSED, NOT_UP -> Outcome.NO_CONNECTION;
-            case PEER_CLOSED, BROKEN, WRITE_FAILED -> left ? Outcome.CONNECTION_LOST : Outcome.NO_CONNECTION;
-            case BAD_INPUT, FRAME_REJECTED, IDLE, RELEASED, SILENT, GONE, DONE, FAULT ->
-                    left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
+            case BROKEN, WRITE_FAILED -> left ? Outcome.CONNECTION_LOST : Outcome.NO_CONNECTION;
+            case PEER_CLOSED -> !meant ? beside : left ? Outcome.CONNECTION_LOST : Outcome.NO_CONNECTION;
+            case BAD_INPUT, FRAME_REJECTED -> left && meant ? Outcome.ERROR : beside;
+            case IDLE, RELEASED, SILENT, GONE, DONE, FAULT -> left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
         };
     }
 }
--- a/src/main/java/tinlink/net/FrameReader.java
+++ b/src/main/java/tinlink/net/FrameReader.java
@@ -4,11 +4,15 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /** Reads the frames of a data node, cut anywhere. */
 public final class FrameReader {
     /** What hears the frames. */
     public interface Sink {
+        /** The line of an answer has come; its value may still be on the way. */
+        void begins(String id) throws BadMessage;
+
         /** The end of one part: OK, ERROR or REJECTED; its report, null where there is none; its value. */
         void ended(String id, String end, String report, String value) throws BadMessage;
 
@@ -17,15 +21,23 @@
     }
 
     private static final Set<String> ENDS = Set.of("OK", "ERROR", "REJECTED");
+    private static final Pattern SCORE = Pattern.compile("-|-?[0-9]{1,20}");
     private final Sink sink;
     private int head;
     private int length;
     private ByteBuffer frame;
+    /** The line of the answer that is coming, once it is whole. */
+    private String[] line;
 
     public FrameReader(Sink sink) {
         this.sink = sink;
     }
 
+    /** Nothing of a next frame has come. */
+    public boolean between() {
+        return head == 0;
+    }
+
     public void read(Ring in) throws BadMessage {
         while (in.size() > 0) {
             if (head < 4) {
@@ -38,44 +50,59 @@
                     frame = ByteBuffer.allocate(length);
                 }
             } else {
+                int from = frame.position();
                 frame.put(in.takeRun(frame.remaining()));
+                begun(from);
                 if (!frame.hasRemaining()) {
                     ByteBuffer whole = frame.flip();
+                    String[] words = line;
                     head = 0;
                     length = 0;
                     frame = null;
-                    whole(whole);
+                    line = null;
+                    whole(whole, words);
                 }
             }
         }
     }
 
-    private void whole(ByteBuffer f) throws BadMessage {
-        byte letter = f.get();
-        switch (letter) {
-            case 'Y' -> {
-                int lf = f.position();
-                while (lf < f.limit() && f.get(lf) != '\n') {
-                    lf++;
-                }
-                if (lf == f.limit()) {
-                    throw new BadMessage("a Y frame without its line");
-                }
-                String[] words = utf8(f.slice(f.position(), lf - f.position())).split(" ", -1);
-                if (words.length != 4 || words[0].isEmpty() || !ENDS.contains(words[1])) {
+    /** Danger: a frame that lies about its length swallows the answers behind it; what can be told is told now. */
+    private void begun(int from) throws BadMessage {
+        byte letter = frame.get(0);
+        if ("YNGT".indexOf(letter) < 0) {
+            throw new BadMessage("a frame of unknown letter " + (letter & 0xff));
+        }
+        for (int at = from; letter == 'Y' && line == null && at < frame.position(); at++) {
+            if (frame.get(at) == '\n') {
+                // Danger: a report that can't be read spoils nothing; it may hold anything but the line's end.
+                String[] words = new String(frame.array(), 1, at - 1, StandardCharsets.ISO_8859_1).split(" ", 4);
+                if (words.length != 4 || words[0].isEmpty() || !ENDS.contains(words[1])
+                        || !SCORE.matcher(words[2]).matches()) {
                     throw new BadMessage("a Y frame with a garbled line");
                 }
-                f.position(lf + 1);
+                line = words;
+                sink.begins(words[0]);
+            } else if (at > Protocol.MOST_HEAD || at == length - 1) {
+                throw new BadMessage("a Y frame without its line");
+            }
+        }
+    }
+
+    private void whole(ByteBuffer f, String[] words) throws BadMessage {
+        switch (f.get()) {
+            case 'Y' -> {
+                while (f.get() != '\n') {
+                    // The line has been read as it came.
+                }
                 if (f.remaining() > Protocol.MOST_BODY) {
                     throw new BadMessage("a value too long");
                 }
                 sink.ended(words[0], words[1], words[3].equals("-") ? null : words[3], utf8(f));
             }
             case 'N' -> sink.rejected(StandardCharsets.UTF_8.decode(f).toString());
-            case 'G', 'T' -> {
+            default -> {
                 // Answers to probes; the module sends none, so they mean nothing here.
             }
-            default -> throw new BadMessage("a frame of unknown letter " + (letter & 0xff));
         }
     }
 
--- a/src/main/java/tinlink/router/NodeLink.java
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -3,9 +3,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import tinlink.decision.DataNode;
@@ -25,6 +28,10 @@
     private final FrameReader reader = new FrameReader(this);
     /** Part calls whose frames have gone into the ring, by id; each leaves with its outcome. */
     private final Map<String, Sent> out = new HashMap<>();
+    /** Ids that have left without an answer, which may still come: the newest, as many as may be out at once. */
+    private final Set<String> unanswered = new LinkedHashSet<>();
+    /** Of the last answer; a second copy of it may come right behind. */
+    private String answered;
     /** Frames to come, and ids to give up; they go into the ring only when they can leave at once. */
     private final ArrayDeque<Bundle> waiting = new ArrayDeque<>();
     private final ArrayDeque<String> givenUp = new ArrayDeque<>();
@@ -37,6 +44,8 @@
     private boolean retired;
     private Loop.Timer connect;
     private Loop.Timer idle;
+    /** Runs while a frame has begun and has not come whole. */
+    private Loop.Timer stuck;
 
     NodeLink(PartSends sends, Target target, long now) {
         this.sends = sends;
@@ -107,9 +116,17 @@
 
     /** One part call is over, and is given up if its frame is out. */
     void over(Sent s, boolean giveUp) {
-        if (!s.bundle.waits() && out.remove(s.segment().id, s) && giveUp) {
-            givenUp.add(s.segment().id);
-            depart();
+        if (!s.bundle.waits() && out.remove(s.segment().id, s)) {
+            if (!s.answered) {
+                unanswered.add(s.segment().id);
+                if (unanswered.size() > sends.callsPerLink()) {
+                    unanswered.remove(unanswered.iterator().next());
+                }
+            }
+            if (giveUp) {
+                givenUp.add(s.segment().id);
+                depart();
+            }
         }
         if (--s.bundle.open == 0) {
             waiting.remove(s.bundle);
@@ -207,21 +224,38 @@
 
     @Override
     public void arrived(Ring in) {
-        heardAt = sends.now();
-        silent = false;
         try {
             reader.read(in);
         } catch (BadMessage e) {
-            LOG.log(Level.WARNING, "data node {0}: {1}", new Object[] {target.address, e.getMessage()});
+            LOG.log(Level.FINE, "data node {0}: {1}", new Object[] {target.address, e.getMessage()});
             link.end(Ending.BAD_INPUT);
         }
+        if (reader.between() != (stuck == null)) {
+            sends.takeBack(stuck);
+            // Danger: a frame that stops in its middle would hold all that is out here until its time is over.
+            stuck = reader.between() || link.isOver() ? null
+                    : sends.whenStuck(() -> link.end(Ending.BAD_INPUT));
+        }
+    }
+
+    /** Danger: an answer to what was never sent here: what else comes on the connection can't be trusted. */
+    @Override
+    public void begins(String id) throws BadMessage {
+        if (!out.containsKey(id) && !unanswered.contains(id) && !id.equals(answered)) {
+            throw new BadMessage(502, "an answer to a call that was not sent");
+        }
     }
 
+    /** Danger: only a whole answer shows that the node lives; noise does not. */
     @Override
     public void ended(String id, String end, String report, String value) {
+        heardAt = sends.now();
+        silent = false;
+        answered = id;
         Sent s = out.get(id);
         if (s == null) {
-            return; // Over, unknown, or sent to another node: it says nothing any more.
+            unanswered.remove(id); // Over, or a second copy: it says nothing any more.
+            return;
         }
         s.answered = true;
         if (end.equals("OK")) {
@@ -236,7 +270,7 @@
 
     @Override
     public void rejected(String words) {
-        LOG.log(Level.WARNING, "data node {0} could not use a frame: {1}",
+        LOG.log(Level.FINE, "data node {0} could not use a frame: {1}",
                 new Object[] {target.address, words});
         link.end(Ending.FRAME_REJECTED);
     }
@@ -245,14 +279,21 @@
     public void ended(Ending how) {
         sends.takeBack(connect);
         sends.takeBack(idle);
+        sends.takeBack(stuck);
         LOG.log(Level.FINE, "data node {0}: {1}, {2} calls out",
                 new Object[] {target.address, how, calls});
+        // One answer was spoilt: it is held to be that of the call that has waited longest. A connection that has
+        // carried answers and closes in order was closed between two, and speaks of no call.
         List<Sent> lost = new ArrayList<>(out.values());
+        lost.sort(Comparator.comparingLong(s -> s.call.sentAt));
+        Sent oldest = lost.isEmpty() ? null : lost.get(0);
+        boolean meansAll = how == Ending.PEER_CLOSED && heardAt == 0;
         waiting.forEach(b -> lost.addAll(b.sent));
         sends.closed(this);
         for (Sent s : lost) {
             if (!s.over) {
-                sends.over(s, how.outcome(hasLeft(s)), false);
+                sends.over(s, how.outcome(hasLeft(s),
+                        meansAll || s == oldest && how != Ending.PEER_CLOSED), false);
             }
         }
     }
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -51,6 +51,15 @@
         return loop.now();
     }
 
+    /** A frame comes whole within the time in which a connection comes up. */
+    Loop.Timer whenStuck(Runnable what) {
+        return loop.at(now() + links.connectUs(), what);
+    }
+
+    int callsPerLink() {
+        return links.callsPerLink();
+    }
+
     void takeBack(Loop.Timer t) {
         loop.takeBack(t);
     }
@@ -138,7 +147,7 @@
         }
         for (Sent s : b.sent) {
             if (!s.over) {
-                over(s, Ending.NO_SOCKET.outcome(false), false);
+                over(s, Ending.NO_SOCKET.outcome(false, true), false);
             }
         }
     }
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -112,8 +112,10 @@
     @EnumSource(Ending.class)
     void ending(Ending how) {
         boolean neverUp = EnumSet.of(Ending.REFUSED, Ending.NOT_UP, Ending.NO_SOCKET).contains(how);
-        assertEquals(neverUp, how.outcome(true).neverRan);
-        assertTrue(how.outcome(false).neverRan);
+        for (boolean meant : new boolean[] {true, false}) {
+            assertEquals(neverUp, how.outcome(true, meant).neverRan);
+            assertTrue(how.outcome(false, meant).neverRan);
+        }
     }
 
     /** Lines with ">" go in, "<" must come out, "!" must be said on standard error. */
--- a/src/test/java/tinlink/net/ParserPlayer.java
+++ b/src/test/java/tinlink/net/ParserPlayer.java
@@ -139,6 +139,11 @@
         body = new StringBuilder();
     }
 
+    @Override
+    public void begins(String id) {
+        // Each answer is to a call that was sent.
+    }
+
     @Override
     public void ended(String id, String end, String report, String value) {
         heard.add(("< " + id + " " + end + " " + report + " " + value).replace('\n', '␊'));
--- a/src/test/resources/scenarios/frames.msg
+++ b/src/test/resources/scenarios/frames.msg
@@ -34,3 +34,19 @@
 == frames: a value that is not UTF-8
 >frame Yq1.3 OK 0 -\n\xff
 ! 400 a frame that is not UTF-8
+
+== frames: a report that can't be read spoils nothing
+>frame Yq1.3 OK 7 lat =\xff;; 3\nx
+< q1.3 OK lat =ÿ;; 3 x
+
+== frames: a score that is none
+>frame Yq1.3 OK x7 -\nx
+! 400 a Y frame with a garbled line
+
+== frames: a letter, told before its frame is whole
+> \x00\x00\x10\x00Z
+! 400 a frame of unknown letter 90
+
+== frames: a line, told before its frame is whole
+> \x00\x00\x10\x00Yq1.3 FINE 0 -\n
+! 400 a Y frame with a garbled line
