A node that has just turned a part away is asked again only after a quarter of a round

At fault: FastestValid.place, which picks the only holder again as soon as it has said no. Checked: the node was not draining, it went on rejecting for 5 s while the list had it in service.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -123,9 +123,7 @@
 
     @Override
     public void timer() {
-        if (now >= armed) {
-            armed = NEVER;
-        }
+        armed = now >= armed ? NEVER : armed;
         open.stream().filter(lk -> lk.lookAt <= now).forEach(this::touch);
     }
 
@@ -381,7 +379,9 @@
         boolean any = false;
         for (Part p : parts) {
             Seen s = replicas.pick(p, cold, replay, now);
-            if (s == null) {
+            // Danger: a full node turns away what comes again at once; a part's tries would be gone in a moment.
+            if (s == null || replicas.tried(s, p) && lastCall(p).outcome == Outcome.TURNED_AWAY
+                    && now < lastCall(p).sentAt + p.lookup.roundUs / 4) {
                 continue;
             }
             any = true;
@@ -587,8 +587,7 @@
 
         /** Never null: a call may end after its node was forgotten. */
         Seen seen(DataNode n) {
-            Seen s = known.get(n);
-            return s == null ? new Seen(n, -1) : s;
+            return known.containsKey(n) ? known.get(n) : new Seen(n, -1);
         }
 
         boolean held(Part p) {
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -428,6 +428,8 @@
                     new Socket(InetAddress.getLoopbackAddress(), port).close();
                 } catch (ConnectException e) {
                     taken = false;
+                } catch (SocketException e) {
+                    // Taken by the kernel, and reset at once.
                 }
             }
         }
