Clients that are gone at once no longer pass for impatient ones

At fault: FastestValid.Rounds.left, which took that for the patience of all clients and made rounds a third of it; then no node looks fast enough. Ruled out: node trouble, processor, loop. The same happened to a cold router that read requests late, whose clients had left. Who leaves within a sixteenth of the aim now says nothing; the clients of the incident behind the departure left after a quarter of it.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -491,9 +491,11 @@
         }
 
         void left(Lookup lk, boolean client, long now) {
+            // Danger: who is gone at once, or before a late router has read it, did not wait: that is no patience.
             boolean early = client && now < lk.leavesAt - lk.roundUs;
-            leaving += LEAVE_STEP * ((early ? 1 : 0) - leaving);
-            if (early) {
+            double step = early && now - lk.arrivedAt < lk.index.softUs / 16 ? 0 : LEAVE_STEP;
+            leaving += step * ((early ? 1 : 0) - leaving);
+            if (early && step > 0) {
                 leaveUs += (leaveUs == 0 ? 1 : 4 * LEAVE_STEP) * (now - lk.arrivedAt - leaveUs);
             }
         }
