Clients that ask once and stay no longer hold all connections: then an answer is the last one

A probe of the door: 234 client connections, 126 to 128 of them idle after an answer, which is all of the third of 384 descriptors that clients have; 106 more said nothing. Clients that ask once and stay held their places until our 2.25 s were over, and the others found none. Now an answer is the last on its connection while more than half of the clients' third stands idle.

--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -168,9 +168,9 @@
         });
     }
 
-    /** Every answer is the last one on its connection. */
+    /** The answer is the last one on its connection. */
     boolean closing() {
-        return closing;
+        return closing || descriptors.crowded(idle.size());
     }
 
     /** Whether clients may be sent here. */
