--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -379,7 +379,7 @@
         boolean any = false;
         for (Part p : parts) {
             Seen s = replicas.pick(p, cold, replay, now);
-            // Danger: a full node turns away what comes again at once; a part's tries would be gone in a moment.
+            // Danger: a full node turns away what comes again at once; all tries would be gone in a moment.
             if (s == null || replicas.tried(s, p) && lastCall(p).outcome == Outcome.TURNED_AWAY
                     && now < lastCall(p).sentAt + p.lookup.roundUs / 4) {
                 continue;
@@ -491,7 +491,7 @@
         }
 
         void left(Lookup lk, boolean client, long now) {
-            // Danger: who is gone at once, or before a late router has read it, did not wait: that is no patience.
+            // Danger: who is gone at once, or before a late router has read it, did not wait: no patience.
             boolean early = client && now < lk.leavesAt - lk.roundUs;
             double step = early && now - lk.arrivedAt < lk.index.softUs / 16 ? 0 : LEAVE_STEP;
             leaving += step * ((early ? 1 : 0) - leaving);
--- a/src/main/java/tinlink/net/Ending.java
+++ b/src/main/java/tinlink/net/Ending.java
@@ -34,8 +34,10 @@
     FAULT;
 
     /**
-     * Danger: a part call taken for one that never ran may have its effect twice. And calls that only shared the
-     * connection, taken for calls that failed, make a node look dying that has lost one answer, or has closed a
+     * Danger: a part call taken for one that never ran may have its effect twice. And calls that only shared
+     * the
+     * connection, taken for calls that failed, make a node look dying that has lost one answer, or has closed
+     * a
      * connection between two.
      *
      * @param left the last byte of its frame was handed to the kernel, or may have been
@@ -49,7 +51,8 @@
             case BROKEN, WRITE_FAILED -> left ? Outcome.CONNECTION_LOST : Outcome.NO_CONNECTION;
             case PEER_CLOSED -> !meant ? beside : left ? Outcome.CONNECTION_LOST : Outcome.NO_CONNECTION;
             case BAD_INPUT, FRAME_REJECTED -> left && meant ? Outcome.ERROR : beside;
-            case IDLE, RELEASED, SILENT, GONE, DONE, FAULT -> left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
+            case IDLE, RELEASED, SILENT, GONE, DONE, FAULT ->
+                    left ? Outcome.CONNECTION_LOST : Outcome.NOT_SENT;
         };
     }
 }
--- a/src/main/java/tinlink/net/FrameReader.java
+++ b/src/main/java/tinlink/net/FrameReader.java
@@ -66,7 +66,10 @@
         }
     }
 
-    /** Danger: a frame that lies about its length swallows the answers behind it; what can be told is told now. */
+    /**
+     * Danger: a frame that lies about its length swallows the answers behind it; what can be told is told
+     * now.
+     */
     private void begun(int from) throws BadMessage {
         byte letter = frame.get(0);
         if ("YNGT".indexOf(letter) < 0) {
@@ -74,8 +77,10 @@
         }
         for (int at = from; letter == 'Y' && line == null && at < frame.position(); at++) {
             if (frame.get(at) == '\n') {
-                // Danger: a report that can't be read spoils nothing; it may hold anything but the line's end.
-                String[] words = new String(frame.array(), 1, at - 1, StandardCharsets.ISO_8859_1).split(" ", 4);
+                // Danger: a report that can't be read spoils nothing; it may hold anything but the line's
+                // end.
+                String[] words = new String(frame.array(), 1, at - 1, StandardCharsets.ISO_8859_1)
+                        .split(" ", 4);
                 if (words.length != 4 || words[0].isEmpty() || !ENDS.contains(words[1])
                         || !SCORE.matcher(words[2]).matches()) {
                     throw new BadMessage("a Y frame with a garbled line");
--- a/src/main/java/tinlink/net/Protocol.java
+++ b/src/main/java/tinlink/net/Protocol.java
@@ -12,7 +12,10 @@
     public static final long CLIENT_FREE_US = 2_000_000;
     /** Whoever connects is owed an error or a close within this, unless a whole request of its is in hand. */
     public static final long CLIENT_OWED_US = 3_000_000;
-    /** A process that was told to stop is killed no sooner than the longest deadline, up to this, and so much more. */
+    /**
+     * A process that was told to stop is killed no sooner than the longest deadline, up to this, and so much
+     * more.
+     */
     public static final long KILL_LONGEST_US = 3_000_000;
     public static final long KILL_AFTER_US = 700_000;
     /** While nothing changes, discovery writes an empty line this often. */
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -100,7 +100,8 @@
         }
         while (lastAnswer && in.size() > 0 && unread < Protocol.MOST_BODY) {
             // Not read as a request, but taken: a reset would cut off the answer. Danger: what a client that
-            // sends without end is sent takes the time of all others; past the bound its bytes stay where they are.
+            // sends without end is sent takes the time of all others; past the bound its bytes stay where
+            // they are.
             unread += in.takeRun(in.size()).remaining();
         }
         if (isIdle()) {
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -92,7 +92,8 @@
     }
 
     /**
-     * Closes one client connection that nothing is in hand on, which its client then opens anew. Danger: clients
+     * Closes one client connection that nothing is in hand on, which its client then opens anew. Danger:
+     * clients
      * that connect by the hundreds and say nothing would push out the usual ones; they go first, right after
      * those that are over but for their end.
      */
@@ -130,7 +131,9 @@
         loop.ready(() -> network.accept(this));
     }
 
-    /** Between the two times that the protocol gives: after that, a connection with nothing in hand is closed. */
+    /**
+     * Between the two times that the protocol gives: after that, a connection with nothing in hand is closed.
+     */
     Loop.Timer whenTooLong(long sinceUs, Runnable what) {
         return loop.at(sinceUs + (3 * Protocol.CLIENT_FREE_US + Protocol.CLIENT_OWED_US) / 4, what);
     }
@@ -196,7 +199,9 @@
         return reading <= mostReading;
     }
 
-    /** The settings' number of lookups and parts in hand has not been reached, nor is there too little time. */
+    /**
+     * The settings' number of lookups and parts in hand has not been reached, nor is there too little time.
+     */
     boolean hasRoom(Query q) {
         return turn.open() < openCap && q.leavesAt <= takesUntil;
     }
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -28,7 +28,9 @@
     private final Aggregator module;
     /** Queries in hand; each leaves with its answer or its client. */
     private final Map<String, Query> queries = new HashMap<>();
-    /** Ids of queries that are over, and since when; each leaves after the time that a client waits at most. */
+    /**
+     * Ids of queries that are over, and since when; each leaves after the time that a client waits at most.
+     */
     private final Map<String, Long> ended = new LinkedHashMap<>();
     private final long keptUs;
     /** Queries with inputs in this turn; emptied at its end. */
@@ -59,7 +61,8 @@
     }
 
     /**
-     * Danger: a lookup that takes the id of another, in hand or just over, would run parts that data nodes take
+     * Danger: a lookup that takes the id of another, in hand or just over, would run parts that data nodes
+     * take
      * for those of the other.
      */
     boolean knows(String callId) {
--- a/src/main/java/tinlink/router/NodeLink.java
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -28,7 +28,9 @@
     private final FrameReader reader = new FrameReader(this);
     /** Part calls whose frames have gone into the ring, by id; each leaves with its outcome. */
     private final Map<String, Sent> out = new HashMap<>();
-    /** Ids that have left without an answer, which may still come: the newest, as many as may be out at once. */
+    /**
+     * Ids that have left without an answer, which may still come: the newest, as many as may be out at once.
+     */
     private final Set<String> unanswered = new LinkedHashSet<>();
     /** Of the last answer; a second copy of it may come right behind. */
     private String answered;
@@ -232,7 +234,8 @@
         }
         if (reader.between() != (stuck == null)) {
             sends.takeBack(stuck);
-            // Danger: a frame that stops in its middle would hold all that is out here until its time is over.
+            // Danger: a frame that stops in its middle would hold all that is out here until its time is
+            // over.
             stuck = reader.between() || link.isOver() ? null
                     : sends.whenStuck(() -> link.end(Ending.BAD_INPUT));
         }
@@ -282,7 +285,8 @@
         sends.takeBack(stuck);
         LOG.log(Level.FINE, "data node {0}: {1}, {2} calls out",
                 new Object[] {target.address, how, calls});
-        // One answer was spoilt: it is held to be that of the call that has waited longest. A connection that has
+        // One answer was spoilt: it is held to be that of the call that has waited longest. A connection that
+        // has
         // carried answers and closes in order was closed between two, and speaks of no call.
         List<Sent> lost = new ArrayList<>(out.values());
         lost.sort(Comparator.comparingLong(s -> s.call.sentAt));
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -238,7 +238,8 @@
         long us = waitUs / 2 + random.nextLong(waitUs);
         waitUs = Math.min(2 * waitUs, LONGEST_WAIT_US);
         // Said once, until a line shows that discovery serves again.
-        LOG.log(down ? Level.FINE : Level.WARNING, "discovery: the watch ended ({0}), the list of {1} nodes is kept",
+        LOG.log(down ? Level.FINE : Level.WARNING,
+                "discovery: the watch ended ({0}), the list of {1} nodes is kept",
                 new Object[] {how, nodes.size()});
         down = true;
         turn.input(m -> m.nodes(Aggregator.News.FAILED));
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -45,7 +45,9 @@
         turn.serves(sends, roster::follow);
     }
 
-    /** Runs all code that clients will meet, so that it is compiled before they come; to be called before run. */
+    /**
+     * Runs all code that clients will meet, so that it is compiled before they come; to be called before run.
+     */
     public void warmUp() {
         try {
             long from = System.nanoTime();
@@ -94,7 +96,9 @@
         loop.ready(loop::end);
     }
 
-    /** From another thread: reads the configuration again, and goes on with what it had if that can't be used. */
+    /**
+     * From another thread: reads the configuration again, and goes on with what it had if that can't be used.
+     */
     public void reload() {
         loop.ready(() -> {
             try {
@@ -116,7 +120,8 @@
     private void stop() {
         LOG.log(Level.INFO, "{0} stops, {1} lookups and parts in hand",
                 new Object[] {start.name, turn.open()});
-        // Danger: while routers restart one after the other, the next one may stop before the one before it is
+        // Danger: while routers restart one after the other, the next one may stop before the one before it
+        // is
         // back. Clients go on using the connections that they have, so these are served for as long as what
         // comes can be answered before the process may be killed.
         long kill = Math.min(start.longestUs, Protocol.KILL_LONGEST_US) + Protocol.KILL_AFTER_US;
--- a/src/main/java/tinlink/router/Warmup.java
+++ b/src/main/java/tinlink/router/Warmup.java
@@ -19,12 +19,16 @@
 import tinlink.start.RouterStart;
 
 /**
- * Plays lookups before the router is ready: all stages run, with a module of their own, against clients and data
+ * Plays lookups before the router is ready: all stages run, with a module of their own, against clients and
+ * data
  * nodes that are this process itself, at the address where it will serve. Danger: on part of a core the code
  * of a JVM that has just started is so slow that the first clients' time is over before they are read.
  */
 final class Warmup implements Network.Door {
-    /** What a first run costs, loading and linking, is over with the first few; each more makes a restart longer. */
+    /**
+     * What a first run costs, loading and linking, is over with the first few; each more makes a restart
+     * longer.
+     */
     private static final int LOOKUPS = 24;
     private static final int ASKERS = 4;
     private static final int MOST_PARTS = 5;
@@ -154,7 +158,8 @@
             while (in.size() > 0) {
                 if (head < length.length) {
                     length[head++] = in.take();
-                    frame = head < length.length ? null : ByteBuffer.allocate(ByteBuffer.wrap(length).getInt());
+                    frame = head < length.length ? null
+                            : ByteBuffer.allocate(ByteBuffer.wrap(length).getInt());
                 } else {
                     frame.put(in.takeRun(frame.remaining()));
                     if (!frame.hasRemaining()) {
@@ -171,7 +176,8 @@
                 String[] words = whole.substring(at, lf).split(" ");
                 at = lf + 1 + Integer.parseInt(words[3]);
                 String end = parts % 32 == 30 ? "ERROR" : parts % 32 == 14 ? "REJECTED" : "OK";
-                byte[] y = ("Y" + words[0] + " " + end + " 1 -\n" + words[0]).getBytes(StandardCharsets.UTF_8);
+                byte[] y = ("Y" + words[0] + " " + end + " 1 -\n" + words[0])
+                        .getBytes(StandardCharsets.UTF_8);
                 link.out().put(ByteBuffer.allocate(4).putInt(y.length).array()).put(y);
             }
             link.later();
@@ -204,7 +210,8 @@
                 segments.add("{\"segment\":" + i + ",\"boost\":" + 1.0 / parts + "}");
             }
             String body = "{\"segments\":[" + String.join(",", segments) + "],\"text\":\"warm\"}";
-            link.out().put("POST /api HTTP/1.1\r\nHost: warm\r\nX-Call-Id: warm" + asked++ + "\r\nX-Call-Class: "
+            link.out().put("POST /api HTTP/1.1\r\nHost: warm\r\nX-Call-Id: warm" + asked++
+                    + "\r\nX-Call-Class: "
                     + index.getKey() + "\r\nX-Budget-Ms: " + index.getValue().hardUs / 1000
                     + "\r\nIdempotency-Key: warm\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
             link.later();
--- a/src/main/java/tinlink/start/Hangup.java
+++ b/src/main/java/tinlink/start/Hangup.java
@@ -4,7 +4,8 @@
 import java.lang.reflect.Proxy;
 
 /**
- * Hears SIGHUP. The JVM has no supported way to do so; the one that it has had for long is reached by name, so
+ * Hears SIGHUP. The JVM has no supported way to do so; the one that it has had for long is reached by name,
+ * so
  * that the code builds without it too.
  */
 public final class Hangup {
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -451,7 +451,8 @@
                 case "OK", "ERROR", "REJECTED" -> frame(from.get(w[1]), "Y" + w[1] + " " + w[0] + " 7 -\n"
                         + (w.length > 2 ? new String(ParserPlayer.bytes(w[2]), StandardCharsets.UTF_8) : ""));
                 case "N" -> frame(newest(), "N" + String.join(" ", w).substring(1));
-                case "frame" -> frame(newest(), new String(ParserPlayer.bytes(String.join(" ", w).substring(6)),
+                case "frame" -> frame(newest(),
+                        new String(ParserPlayer.bytes(String.join(" ", w).substring(6)),
                         StandardCharsets.UTF_8));
                 case "raw" -> newest().getOutputStream()
                         .write(ParserPlayer.bytes(String.join(" ", w).substring(4)));
