Read-through: one wiring of the stages, one end of a client's limit, no broken comment lines

Router and Warmup put the same stages together each for itself; Stages does it for both, and only who follows the list differs. Intake had two flags for what is one (not ready); Client ended its limit in four places. NodeLink's two conditions for the call that an ending speaks of are one. What an HTTP sink does not take needs no empty method. The module looked a node up twice to save a line. Comments that a wrap had broken in single words are whole again. No behaviour changes; the tests are as they were.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -589,7 +589,8 @@
 
         /** Never null: a call may end after its node was forgotten. */
         Seen seen(DataNode n) {
-            return known.containsKey(n) ? known.get(n) : new Seen(n, -1);
+            Seen s = known.get(n);
+            return s == null ? new Seen(n, -1) : s;
         }
 
         boolean held(Part p) {
@@ -597,9 +598,8 @@
         }
 
         boolean heldWithRoom(Part p, Admission admission, double luck, ColdGuard cold, long now) {
-            long roundUs = p.lookup.roundUs;
             return holders(p).stream().anyMatch(s -> cold.admits(s, known.values(), now)
-                    && admission.room(s, health.latency(s, roundUs, now), luck, roundUs));
+                    && admission.room(s, health.latency(s, p.lookup.roundUs, now), luck, p.lookup.roundUs));
         }
 
         /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
--- a/src/main/java/tinlink/net/Ending.java
+++ b/src/main/java/tinlink/net/Ending.java
@@ -35,10 +35,8 @@
 
     /**
      * Danger: a part call taken for one that never ran may have its effect twice. And calls that only shared
-     * the
-     * connection, taken for calls that failed, make a node look dying that has lost one answer, or has closed
-     * a
-     * connection between two.
+     * the connection, taken for calls that failed, make a node look dying that has lost one answer, or has
+     * closed a connection between two.
      *
      * @param left the last byte of its frame was handed to the kernel, or may have been
      * @param meant it is this call that the ending speaks of, not one that only shared the connection
--- a/src/main/java/tinlink/net/FrameReader.java
+++ b/src/main/java/tinlink/net/FrameReader.java
@@ -77,8 +77,8 @@
         }
         for (int at = from; letter == 'Y' && line == null && at < frame.position(); at++) {
             if (frame.get(at) == '\n') {
-                // Danger: a report that can't be read spoils nothing; it may hold anything but the line's
-                // end.
+                // Danger: a report that can't be read spoils nothing; it may hold anything but the
+                // line's end.
                 String[] words = new String(frame.array(), 1, at - 1, StandardCharsets.ISO_8859_1)
                         .split(" ", 4);
                 if (words.length != 4 || words[0].isEmpty() || !ENDS.contains(words[1])
--- a/src/main/java/tinlink/net/HttpReader.java
+++ b/src/main/java/tinlink/net/HttpReader.java
@@ -8,18 +8,22 @@
 
 /** Reads HTTP/1.1 requests or answers, cut anywhere, one after another. */
 public final class HttpReader {
-    /** What hears the pieces of a message, in order. */
+    /** What hears the pieces of a message, in order; what it does not take means nothing to it. */
     public interface Sink {
         /** The three words of the first line; the last may hold spaces. */
-        void first(String one, String two, String three) throws BadMessage;
+        default void first(String one, String two, String three) throws BadMessage {
+        }
 
         /** The name is in lower case. */
-        void field(String name, String value) throws BadMessage;
+        default void field(String name, String value) throws BadMessage {
+        }
 
         /** All fields are in, a body may follow. */
-        void headOver() throws BadMessage;
+        default void headOver() throws BadMessage {
+        }
 
-        void body(ByteBuffer piece) throws BadMessage;
+        default void body(ByteBuffer piece) throws BadMessage {
+        }
 
         void over() throws BadMessage;
     }
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -51,12 +51,16 @@
     /** Danger: a request that crosses the close is lost once read; unread, its client asks elsewhere. */
     void letGo() {
         lastAnswer = true;
-        intake.takeBack(limit);
-        limit = null;
+        endLimit();
         link.halfClose();
         intake.leave(this);
     }
 
+    private void endLimit() {
+        intake.takeBack(limit);
+        limit = null;
+    }
+
     /** Nothing is in hand from that time on. */
     void awaits(long since) {
         intake.takeBack(limit);
@@ -100,8 +104,8 @@
         }
         while (lastAnswer && in.size() > 0 && unread < Protocol.MOST_BODY) {
             // Not read as a request, but taken: a reset would cut off the answer. Danger: what a client that
-            // sends without end is sent takes the time of all others; past the bound its bytes stay where
-            // they are.
+            // sends without end is sent takes the time of all others; past the bound its bytes stay
+            // where they are.
             unread += in.takeRun(in.size()).remaining();
         }
         if (isIdle()) {
@@ -203,8 +207,7 @@
             return;
         }
         query = q;
-        intake.takeBack(limit);
-        limit = null;
+        endLimit();
         intake.take(q);
     }
 
@@ -225,8 +228,7 @@
         reply.write(link.out(), lastAnswer);
         link.later();
         if (lastAnswer) {
-            intake.takeBack(limit);
-            limit = null;
+            endLimit();
             intake.leave(this);
         } else {
             awaits(intake.now());
--- a/src/main/java/tinlink/router/Descriptors.java
+++ b/src/main/java/tinlink/router/Descriptors.java
@@ -28,8 +28,7 @@
 
     /**
      * Clients have a third of the limit for what they ask. Danger: those that ask once and stay would hold
-     * all
-     * of it until their time is over, and the others find no connection; half of it may stand idle.
+     * all of it until their time is over, and the others find no connection; half of it may stand idle.
      */
     boolean crowded(int idle) {
         return idle > limit / 6;
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -36,7 +36,6 @@
     private final Set<Client> idle = new LinkedHashSet<>();
     /** Bytes of bodies that are being read. */
     private long reading;
-    private boolean stopping;
     private boolean closing;
     /** What can't be answered by then is not taken. */
     private long takesUntil = Long.MAX_VALUE;
@@ -93,9 +92,8 @@
 
     /**
      * Closes one client connection that nothing is in hand on, which its client then opens anew. Danger:
-     * clients
-     * that connect by the hundreds and say nothing would push out the usual ones; they go first, right after
-     * those that are over but for their end.
+     * clients that connect by the hundreds and say nothing would push out the usual ones; they go first,
+     * right after those that are over but for their end.
      */
     boolean closeIdle() {
         for (Set<Client> some : List.of(leaving, silent, idle)) {
@@ -178,9 +176,10 @@
 
     /** Whether clients may be sent here. */
     boolean ready() {
-        return ready && !stopping;
+        return ready;
     }
 
+    /** From now on clients are sent elsewhere; those that are here are served. */
     void notReady() {
         ready = false;
     }
@@ -216,11 +215,6 @@
 
     // ---- The stop. ----
 
-    /** From now on clients are sent elsewhere; those that are here are served. */
-    void stop() {
-        stopping = true;
-    }
-
     void takesUntil(long us) {
         takesUntil = us;
     }
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -62,8 +62,7 @@
 
     /**
      * Danger: a lookup that takes the id of another, in hand or just over, would run parts that data nodes
-     * take
-     * for those of the other.
+     * take for those of the other.
      */
     boolean knows(String callId) {
         long old = loop.now() - keptUs;
--- a/src/main/java/tinlink/router/NodeLink.java
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -234,8 +234,8 @@
         }
         if (reader.between() != (stuck == null)) {
             sends.takeBack(stuck);
-            // Danger: a frame that stops in its middle would hold all that is out here until its time is
-            // over.
+            // Danger: a frame that stops in its middle would hold all that is out here until its
+            // time is over.
             stuck = reader.between() || link.isOver() ? null
                     : sends.whenStuck(() -> link.end(Ending.BAD_INPUT));
         }
@@ -286,18 +286,16 @@
         LOG.log(Level.FINE, "data node {0}: {1}, {2} calls out",
                 new Object[] {target.address, how, calls});
         // One answer was spoilt: it is held to be that of the call that has waited longest. A connection that
-        // has
-        // carried answers and closes in order was closed between two, and speaks of no call.
+        // has carried answers and closes in order was closed between two, and speaks of no call.
         List<Sent> lost = new ArrayList<>(out.values());
         lost.sort(Comparator.comparingLong(s -> s.call.sentAt));
         Sent oldest = lost.isEmpty() ? null : lost.get(0);
-        boolean meansAll = how == Ending.PEER_CLOSED && heardAt == 0;
         waiting.forEach(b -> lost.addAll(b.sent));
         sends.closed(this);
         for (Sent s : lost) {
             if (!s.over) {
-                sends.over(s, how.outcome(hasLeft(s),
-                        meansAll || s == oldest && how != Ending.PEER_CLOSED), false);
+                boolean meant = how == Ending.PEER_CLOSED ? heardAt == 0 : s == oldest;
+                sends.over(s, how.outcome(hasLeft(s), meant), false);
             }
         }
     }
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -289,16 +289,6 @@
             }
         }
 
-        @Override
-        public void field(String name, String value) {
-            // None matters here beyond what the reader itself heeds.
-        }
-
-        @Override
-        public void headOver() {
-            // Only a whole line shows that discovery serves again.
-        }
-
         @Override
         public void body(ByteBuffer piece) {
             while (piece.hasRemaining()) {
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -34,15 +34,11 @@
     public Router(RouterStart start, Aggregator module) throws IOException {
         this.start = start;
         network = new Network(loop);
-        turn = new ModuleTurn(loop, module, start.longestUs);
-        Descriptors descriptors = new Descriptors(start.descriptors);
-        PartSends sends = new PartSends(loop, network, descriptors, turn, start.links);
-        intake = new Intake(loop, network, descriptors, new QueryReader(start.lookups), turn,
-                start.lookups.openCap(), start.links.connectUs(), start.mostReading, start.longestUs);
-        roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed,
-                start.names);
-        sends.serves(intake);
-        turn.serves(sends, roster::follow);
+        Stages stages = new Stages(loop, network, start, module);
+        turn = stages.turn;
+        intake = stages.intake;
+        roster = stages.roster;
+        turn.serves(stages.sends, roster::follow);
     }
 
     /**
@@ -121,16 +117,15 @@
         LOG.log(Level.INFO, "{0} stops, {1} lookups and parts in hand",
                 new Object[] {start.name, turn.open()});
         // Danger: while routers restart one after the other, the next one may stop before the one before it
-        // is
-        // back. Clients go on using the connections that they have, so these are served for as long as what
-        // comes can be answered before the process may be killed.
+        // is back. Clients go on using the connections that they have, so these are served for as long as
+        // what comes can be answered before the process may be killed.
         long kill = Math.min(start.longestUs, Protocol.KILL_LONGEST_US) + Protocol.KILL_AFTER_US;
         long last = loop.now() + LAST_TAKEN_US + start.longestUs;
         long door = loop.now() + Math.max(CLIENTS_COME_US, kill - 2 * start.longestUs / 3);
         loop.at(loop.now() + CLIENTS_COME_US, () -> intake.takesUntil(last));
         loop.at(door, intake::closeDoor);
         loop.at(Math.max(door, loop.now() + LAST_TAKEN_US), () -> endWhenEmpty(last));
-        intake.stop();
+        intake.notReady();
     }
 
     private void endWhenEmpty(long last) {
--- a/src/main/java/tinlink/router/Warmup.java
+++ b/src/main/java/tinlink/router/Warmup.java
@@ -20,9 +20,9 @@
 
 /**
  * Plays lookups before the router is ready: all stages run, with a module of their own, against clients and
- * data
- * nodes that are this process itself, at the address where it will serve. Danger: on part of a core the code
- * of a JVM that has just started is so slow that the first clients' time is over before they are read.
+ * data nodes that are this process itself, at the address where it will serve. Danger: on part of a core
+ * the code of a JVM that has just started is so slow that the first clients' time is over before they are
+ * read.
  */
 final class Warmup implements Network.Door {
     /**
@@ -45,20 +45,14 @@
     Warmup(RouterStart start) throws IOException {
         this.start = start;
         indexes = List.copyOf(start.lookups.indexes().entrySet());
-        ModuleTurn turn = new ModuleTurn(loop, start.built.module, start.longestUs);
-        Descriptors descriptors = new Descriptors(start.descriptors);
-        PartSends sends = new PartSends(loop, network, descriptors, turn, start.links);
-        intake = new Intake(loop, network, descriptors, new QueryReader(start.lookups), turn,
-                start.lookups.openCap(), start.links.connectUs(), start.mostReading, start.longestUs);
+        Stages stages = new Stages(loop, network, start, start.built.module);
+        intake = stages.intake;
         intake.notReady();
-        sends.serves(intake);
-        turn.serves(sends, () -> { });
-        Roster roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed,
-                start.names);
+        stages.turn.serves(stages.sends, () -> { }); // Its list is its own; discovery is not asked.
         try {
             network.listen(start.listen);
-            turn.begins(loop.now());
-            roster.known(list(network.address()));
+            stages.turn.begins(loop.now());
+            stages.roster.known(list(network.address()));
             network.accept(this);
             for (int i = 0; i < ASKERS; i++) {
                 Asker a = new Asker();
@@ -66,7 +60,7 @@
                 askers++;
             }
             loop.at(loop.now() + start.longestUs, loop::end);
-            loop.run(turn);
+            loop.run(stages.turn);
         } finally {
             network.close();
         }
@@ -189,7 +183,7 @@
         }
     }
 
-    /** A client that asks again as soon as it is answered. */
+    /** A client that asks again as soon as it is answered; whatever the answer is, it has run the code. */
     private final class Asker implements Link.Owner, HttpReader.Sink {
         private final HttpReader reader = HttpReader.ofAnswers(this);
         private Link link;
@@ -228,26 +222,6 @@
             }
         }
 
-        @Override
-        public void first(String one, String two, String three) {
-            // Whatever the answer is, it has run the code.
-        }
-
-        @Override
-        public void field(String name, String value) {
-            // As above.
-        }
-
-        @Override
-        public void headOver() {
-            // As above.
-        }
-
-        @Override
-        public void body(ByteBuffer piece) {
-            // As above.
-        }
-
         @Override
         public void over() {
             if (++answered == LOOKUPS) {
