Gateway between sites: choices, link protocol, both sides wired into the router

Cause: a lookup may need card blocks that only the other site holds, and the code had nothing to reach them. Change: tinlink.gateway with choices free of I/O, sealed messages on Link and Loop, far routers as data nodes of the module, forwarded parts as lookups of one part that go to one node once. Off unless NODE_GATEWAY names a file.

--- a/src/main/java/tinlink/decision/DataNode.java
+++ b/src/main/java/tinlink/decision/DataNode.java
@@ -13,6 +13,9 @@
     /** Time of its last start; Long.MIN_VALUE when that is long ago. */
     public long startedAt = Long.MIN_VALUE;
 
+    /** What the line to another site takes, there and back; 0 where the node is at this one. */
+    public long lineUs;
+
     public DataNode(long id) {
         this.id = id;
     }
--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -19,7 +19,6 @@
     private static final long NEVER = Long.MAX_VALUE;
     /** Sums of part weights may be this much short. */
     private static final double SLACK = 1e-4;
-
     private final Rounds rounds;
     private final Replicas replicas;
     private final Health health;
@@ -27,7 +26,6 @@
     private final Budget budget;
     private final Admission admission;
     private final ListFollowing list;
-
     /** Lookups in hand; each leaves with its final answer or its client. */
     private final ArrayList<Lookup> open = new ArrayList<>();
     /** Lookups with news, part calls to send, calls that serve nobody: all emptied within the turn. */
@@ -69,14 +67,14 @@
         lk.arrivedAt = now;
         rounds.begin(lk, now);
         open.add(lk);
-        budget.took(now, false);
+        budget.took(lk, now, false);
         touch(lk);
     }
 
     @Override
     public void part(Part p) {
         p.lookup.parts.add(p);
-        budget.took(now, true);
+        budget.took(p.lookup, now, true);
         touch(p.lookup);
     }
 
@@ -228,7 +226,9 @@
             } else {
                 place(lk.parts, false);
             }
-            lk.lookAt = Math.min(lk.endAt, now + lk.roundUs);
+            // Silence means nothing before the line to another site could have brought an answer.
+            lk.startedAt += outbox.stream().mapToLong(c -> c.node.lineUs).max().orElse(0);
+            lk.lookAt = Math.min(lk.endAt, lk.startedAt + lk.roundUs);
             return !outbox.isEmpty() || step(lk, h);
         }
         if (lk.scouting && (in > 0 || now >= lk.startedAt + lk.roundUs)) {
@@ -265,7 +265,7 @@
         double may = in;
         boolean out = false;
         for (Part p : lk.parts) {
-            if (!p.satisfied && (p.out > 0 || rounds.mayCall(p, now) && replicas.held(p))) {
+            if (!p.satisfied && (p.out > 0 || rounds.mayCall(p, now) && replicas.held(p, now))) {
                 may += p.weight;
                 out |= p.out > 0;
             }
@@ -492,7 +492,7 @@
 
         void left(Lookup lk, boolean client, long now) {
             // Danger: who is gone at once, or before a late router has read it, did not wait: no patience.
-            boolean early = client && now < lk.leavesAt - lk.roundUs;
+            boolean early = client && !lk.forwarded && now < lk.leavesAt - lk.roundUs;
             double step = early && now - lk.arrivedAt < lk.index.softUs / 16 ? 0 : LEAVE_STEP;
             leaving += step * ((early ? 1 : 0) - leaving);
             if (early && step > 0) {
@@ -506,7 +506,7 @@
 
         /** Danger: an effect that happens twice. */
         boolean mayCall(Part p, long now) {
-            if (p.calls.size() >= tryLimit || p.out > 0 && !secondCopies) {
+            if (p.calls.size() >= (p.lookup.forwarded ? 1 : tryLimit) || p.out > 0 && !secondCopies) {
                 return false;
             }
             // Sent one step of the clock later, it still has to fall within the window.
@@ -534,6 +534,7 @@
     /** The companion: which replica serves a part. */
     public static final class Replicas {
         private static final double FAR = 10;
+        private static final double SITE = 10; // At another site: goes when near ones are out, or as bad.
         private final int cells;
         private final int reach;
         private final int bundleMax;
@@ -593,21 +594,22 @@
             return s == null ? new Seen(n, -1) : s;
         }
 
-        boolean held(Part p) {
-            return !holders(p).isEmpty();
+        boolean held(Part p, long now) {
+            return !holders(p, now).isEmpty();
         }
 
         boolean heldWithRoom(Part p, Admission admission, double luck, ColdGuard cold, long now) {
-            return holders(p).stream().anyMatch(s -> cold.admits(s, known.values(), now)
+            return holders(p, now).stream().anyMatch(s -> cold.admits(s, known.values(), now)
                     && admission.room(s, health.latency(s, p.lookup.roundUs, now), luck, p.lookup.roundUs));
         }
 
-        /** Drains: once told that a node drains or is gone, nothing new goes there, grace or not. */
-        private List<Seen> holders(Part p) {
+        /** Drains: once told that a node drains or is gone, nothing new goes there; nor over too long a line. */
+        private List<Seen> holders(Part p, long now) {
             List<Seen> ready = new ArrayList<>();
             for (int j = 0; j < Math.min(reach, cells); j++) {
                 for (Seen s : byCell.get(Math.floorMod(p.shard + j, cells))) {
-                    if (s.node.state == DataNode.State.READY) {
+                    if (s.node.state == DataNode.State.READY && (s.node.lineUs == 0
+                            || !p.lookup.forwarded && p.lookup.endAt - now > s.node.lineUs)) {
                         ready.add(s);
                     }
                 }
@@ -639,7 +641,7 @@
             Seen best = null;
             double least = Double.MAX_VALUE;
             boolean bestTried = true;
-            for (Seen s : holders(p)) {
+            for (Seen s : holders(p, now)) {
                 boolean tried = tried(s, p);
                 if (replay && tried || !cold.admits(s, known.values(), now)) {
                     continue;
@@ -652,7 +654,7 @@
                 double cost = (health.latency(s, p.lookup.roundUs, now) * (s.calls + 1) + doubt)
                         / cold.present(s, now) * (joins ? 1 - callShare : 1)
                         // Departure: crossing zones has a price, so a near node may be a little slower.
-                        * (s.node.zone == zone ? 1 : far);
+                        * (s.node.lineUs > 0 ? SITE : s.node.zone == zone ? 1 : far);
                 if (best == null || (tried != bestTried ? bestTried
                         : cost < least || cost == least && older(s, best))) {
                     best = s;
@@ -928,10 +930,11 @@
             resends = RESENDS * cap / 2;
         }
 
-        void took(long now, boolean part) {
-            replays = Math.min(cap, replays + (part ? REPLAYS : 0));
-            resends = Math.min(cap, resends + (part ? RESENDS : 0));
-            if (lookBackUs > 0) {
+        /** Danger: what another site passes on is counted there; counted twice it would be over the budget. */
+        void took(Lookup lk, long now, boolean part) {
+            replays = Math.min(cap, replays + (part && !lk.forwarded ? REPLAYS : 0));
+            resends = Math.min(cap, resends + (part && !lk.forwarded ? RESENDS : 0));
+            if (lookBackUs > 0 && !lk.forwarded) {
                 taken.add(now);
             }
         }
--- a/src/main/java/tinlink/decision/Lookup.java
+++ b/src/main/java/tinlink/decision/Lookup.java
@@ -9,6 +9,8 @@
     public int tenant;
     /** A client's repeat, where clients mark them. */
     public boolean repeat;
+    /** A part that a router of another site has passed on: it goes to one node here, once, and never on. */
+    public boolean forwarded;
     public long arrivedAt;
     /** When the client stops waiting. */
     public long leavesAt;
--- /dev/null
+++ b/src/main/java/tinlink/gateway/Counters.java
@@ -0,0 +1,25 @@
+package tinlink.gateway;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What a gateway has done, by standard names; the names are fixed in the code, so the table is bounded. */
+public final class Counters {
+    private final Map<String, Long> counts = new TreeMap<>();
+
+    void add(String name) {
+        counts.merge(name, 1L, Long::sum);
+    }
+
+    /** A line of name=count pairs, by name. */
+    @Override
+    public String toString() {
+        StringBuilder line = new StringBuilder();
+        counts.forEach((name, n) -> line.append(line.length() == 0 ? "" : " ").append(name).append('=').append(n));
+        return line.toString();
+    }
+
+    public long of(String name) {
+        return counts.getOrDefault(name, 0L);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/gateway/FarPart.java
@@ -0,0 +1,35 @@
+package tinlink.gateway;
+
+import tinlink.gateway.choice.Origin;
+import tinlink.gateway.choice.Taken;
+
+/** A part that another site has passed on to this router. Fields only. */
+public final class FarPart extends Taken {
+    public final long arrivedAt;
+    /** What its near router leaves us of its time. */
+    public final long leftUs;
+    public final String id;
+    public final String index;
+    public final int shard;
+    public final String key;
+    public final byte[] text;
+    public final boolean repeat;
+    /** Whatever the part is to whoever runs it here. */
+    public Object what;
+    byte[] value = new byte[0];
+    long comeBackUs;
+    long tookUs;
+
+    FarPart(Origin origin, long number, long arrivedAt, long leftUs, String id, String index, int shard, String key,
+            byte[] text, boolean repeat) {
+        super(origin, number);
+        this.arrivedAt = arrivedAt;
+        this.leftUs = leftUs;
+        this.id = id;
+        this.index = index;
+        this.shard = shard;
+        this.key = key;
+        this.text = text;
+        this.repeat = repeat;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/gateway/choice/Forwarded.java
@@ -0,0 +1,40 @@
+package tinlink.gateway.choice;
+
+/** A part on its way to another site, as the near router knows it. Fields only; the choice keeps its notes here. */
+public class Forwarded {
+    enum State {
+        /** For a credit of the far router's. */
+        WAITS,
+        /** On its line. */
+        OUT,
+        /** Its line was cut; the far router has not said yet what became of it. */
+        UNSURE,
+        OVER
+    }
+
+    /** Until when an answer counts here. */
+    public final long until;
+    public final int cell;
+    /** A second run does no harm. */
+    public final boolean repeatable;
+    State state = State.WAITS;
+    Lane lane;
+    /** Its number on its lane; they only rise. */
+    long number;
+    long waitsUntil;
+    long unsureSince;
+
+    protected Forwarded(long until, int cell, boolean repeatable) {
+        this.until = until;
+        this.cell = cell;
+        this.repeatable = repeatable;
+    }
+
+    public long number() {
+        return number;
+    }
+
+    public Lane lane() {
+        return lane;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/gateway/choice/RoundTrip.java
@@ -0,0 +1,30 @@
+package tinlink.gateway.choice;
+
+/** How long a line takes there and back, smoothed, and its spread (the estimator of RFC 6298). Microseconds. */
+final class RoundTrip {
+    private double smoothedUs;
+    private double spreadUs;
+
+    void sample(long us) {
+        if (smoothedUs == 0) {
+            smoothedUs = Math.max(1, us);
+            spreadUs = us / 4.0;
+        } else {
+            spreadUs += 0.25 * (Math.abs(us - smoothedUs) - spreadUs);
+            smoothedUs += 0.125 * (us - smoothedUs);
+        }
+    }
+
+    boolean known() {
+        return smoothedUs > 0;
+    }
+
+    long smoothedUs() {
+        return (long) smoothedUs;
+    }
+
+    /** What has to be kept of a part's time for the line, whichever way is the slower one. */
+    long keptUs() {
+        return (long) (smoothedUs + 4 * spreadUs);
+    }
+}
--- a/src/main/java/tinlink/net/JsonReader.java
+++ b/src/main/java/tinlink/net/JsonReader.java
@@ -170,7 +170,7 @@
         }
     }
 
-    static String utf8(ByteBuffer bytes) throws CharacterCodingException {
+    public static String utf8(ByteBuffer bytes) throws CharacterCodingException {
         return StandardCharsets.UTF_8.newDecoder().decode(bytes).toString();
     }
 
--- a/src/main/java/tinlink/net/Network.java
+++ b/src/main/java/tinlink/net/Network.java
@@ -70,8 +70,7 @@
     private final Loop loop;
     private final Rings rings = new Rings();
     private final AsynchronousChannelGroup group;
-    private AsynchronousServerSocketChannel server;
-    private boolean accepting;
+    private Listening server;
 
     public Network(Loop loop) throws IOException {
         this.loop = loop;
@@ -82,51 +81,82 @@
         return Link.connect(loop, rings, group, to, owner);
     }
 
+    /** One address at which connections are accepted. */
+    public final class Listening {
+        private final AsynchronousServerSocketChannel server;
+        private boolean accepting;
+
+        private Listening(InetSocketAddress at) throws IOException {
+            server = AsynchronousServerSocketChannel.open(group).bind(at, 1024);
+        }
+
+        public InetSocketAddress address() throws IOException {
+            return (InetSocketAddress) server.getLocalAddress();
+        }
+
+        /** Accepts one after another, as long as the door lets them. */
+        public void accept(Door door) {
+            if (accepting || !server.isOpen() || !door.mayOpen()) {
+                return;
+            }
+            accepting = true;
+            server.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+                @Override
+                public void completed(AsynchronousSocketChannel channel, Void none) {
+                    loop.ready(() -> {
+                        accepting = false;
+                        Link.Owner owner = door.owner();
+                        Link link = Link.accepted(loop, rings, channel, owner);
+                        door.opened(link, owner);
+                        link.start();
+                        accept(door);
+                    });
+                }
+
+                @Override
+                public void failed(Throwable e, Void none) {
+                    loop.ready(() -> {
+                        accepting = false;
+                        if (server.isOpen()) {
+                            door.acceptFailed(e);
+                        }
+                    });
+                }
+            });
+        }
+
+        public void close() {
+            try {
+                server.close();
+            } catch (IOException e) {
+                LOG.log(Level.WARNING, "the listening socket did not close", e);
+            }
+        }
+    }
+
+    /** Clients connect there. */
     public void listen(InetSocketAddress at) throws IOException {
-        server = AsynchronousServerSocketChannel.open(group).bind(at, 1024);
+        server = listening(at);
+    }
+
+    /** One more address to accept at. */
+    public Listening listening(InetSocketAddress at) throws IOException {
+        return new Listening(at);
     }
 
     public InetSocketAddress address() throws IOException {
-        return (InetSocketAddress) server.getLocalAddress();
+        return server.address();
     }
 
-    /** Accepts one after another, as long as the door lets them. */
+    /** Accepts clients one after another, as long as the door lets them. */
     public void accept(Door door) {
-        if (accepting || server == null || !server.isOpen() || !door.mayOpen()) {
-            return;
+        if (server != null) {
+            server.accept(door);
         }
-        accepting = true;
-        server.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
-            @Override
-            public void completed(AsynchronousSocketChannel channel, Void none) {
-                loop.ready(() -> {
-                    accepting = false;
-                    Link.Owner owner = door.owner();
-                    Link link = Link.accepted(loop, rings, channel, owner);
-                    door.opened(link, owner);
-                    link.start();
-                    accept(door);
-                });
-            }
-
-            @Override
-            public void failed(Throwable e, Void none) {
-                loop.ready(() -> {
-                    accepting = false;
-                    if (server.isOpen()) {
-                        door.acceptFailed(e);
-                    }
-                });
-            }
-        });
     }
 
     public void stopAccepting() {
-        try {
-            server.close();
-        } catch (IOException e) {
-            LOG.log(Level.WARNING, "the listening socket did not close", e);
-        }
+        server.close();
     }
 
     /** Closes all that is open. */
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -16,7 +16,7 @@
 import tinlink.net.Ring;
 
 /** A client's connection: one request at a time, the next one is read when its answer has been given. */
-final class Client implements Link.Owner, HttpReader.Sink {
+final class Client implements Link.Owner, HttpReader.Sink, Query.Asker {
     private static final Logger LOG = Logger.getLogger("tinlink.intake");
     private static final Pattern CLOSE = Pattern.compile("(?i)(.*,)?\\s*close\\s*(,.*)?");
     private static final Pattern ONCE = Pattern.compile("x-.*|idempotency-key|content-length|host");
@@ -211,8 +211,28 @@
         intake.take(q);
     }
 
+    @Override
+    public void answered(Query q, boolean whole) {
+        answer(q, Reply.answer(q, whole));
+    }
+
+    @Override
+    public void nacked(Query q, long comeBackUs) {
+        answer(q, Reply.nack(comeBackUs));
+    }
+
+    @Override
+    public void aborted(Query q) {
+        answer(q, Reply.abort());
+    }
+
+    @Override
+    public void failed(Query q) {
+        answer(q, Reply.plain(500, "a fault of the router"));
+    }
+
     /** The final answer of the query in hand. */
-    void answer(Query q, Reply reply) {
+    private void answer(Query q, Reply reply) {
         if (query == q) {
             query = null;
             answer(reply);
--- a/src/main/java/tinlink/router/ModuleTurn.java
+++ b/src/main/java/tinlink/router/ModuleTurn.java
@@ -39,12 +39,17 @@
     private final List<Runnable> asked = new ArrayList<>();
     private int parts;
     private boolean carrying;
+    private final long mostComeBackUs;
     private PartSends sends;
     private Runnable follow;
+    /** What else decides in each turn, beside the module; null where nothing does. */
+    private Loop.Turn beside;
 
-    ModuleTurn(Loop loop, Aggregator module, long keptUs) {
+    /** @param mostComeBackUs clients are told to come back no later */
+    ModuleTurn(Loop loop, Aggregator module, long keptUs, long mostComeBackUs) {
         this.loop = loop;
         this.keptUs = keptUs;
+        this.mostComeBackUs = mostComeBackUs;
         this.module = module;
     }
 
@@ -53,11 +58,18 @@
         this.follow = follow;
     }
 
+    void beside(Loop.Turn what) {
+        beside = what;
+    }
+
     // ---- Inputs. ----
 
     @Override
     public void begins(long nowUs) {
         module.clock(nowUs);
+        if (beside != null) {
+            beside.begins(nowUs);
+        }
     }
 
     /**
@@ -100,7 +112,11 @@
 
     /** What ends while decisions are carried out is an input of the next turn. No report is passed on. */
     void outcome(Sent s, Outcome how) {
-        long tookUs = loop.now() - s.call.sentAt;
+        outcome(s, how, loop.now() - s.call.sentAt);
+    }
+
+    /** @param tookUs without what a line to another site took; below 0 where it says nothing */
+    void outcome(Sent s, Outcome how, long tookUs) {
         input(m -> {
             if (s.call.outcome == null) {
                 touched.add(s.segment().query());
@@ -121,6 +137,7 @@
 
     @Override
     public void decides() {
+        besides(); // What has come over the lines is an input of this turn.
         // Danger: a fault in the module would come back at every pull. First the lookups with inputs in this
         // turn are given up, then all; each as failed, since some part of it may have run.
         if (!pulled(touched)) {
@@ -137,9 +154,21 @@
         }
         asked.clear();
         sends.depart();
+        besides();
         carrying = false;
     }
 
+    /** Danger: a fault there must not keep the module from deciding. */
+    private void besides() {
+        try {
+            if (beside != null) {
+                beside.decides();
+            }
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "a fault beside the module", e);
+        }
+    }
+
     /** Pulls decisions until there is none; false after a fault, for which these lookups have been ended. */
     private boolean pulled(Collection<Query> blamed) {
         try {
@@ -151,7 +180,7 @@
             LOG.log(Level.SEVERE, "a fault in the module ends " + blamed.size() + " lookups", e);
             for (Query q : List.copyOf(blamed)) {
                 clientGone(q);
-                q.client.answer(q, Reply.plain(500, "a fault of the router"));
+                q.asker.failed(q);
             }
             return false;
         }
@@ -182,23 +211,25 @@
 
     @Override
     public void answer(Lookup lk, boolean whole) {
-        ends(lk, Reply.answer((Query) lk, whole));
+        ends(lk, q -> q.asker.answered(q, whole));
     }
 
     @Override
     public void nack(Lookup lk, long comeBackUs) {
-        ends(lk, Reply.nack(comeBackUs));
+        // A far router's advice counts too, where advice is given at all.
+        ends(lk, q -> q.asker.nacked(q, comeBackUs <= 0 ? comeBackUs
+                : Math.max(comeBackUs, Math.min(q.comeBackUs, mostComeBackUs))));
     }
 
     @Override
     public void abort(Lookup lk) {
-        ends(lk, Reply.abort());
+        ends(lk, q -> q.asker.aborted(q));
     }
 
-    private void ends(Lookup lk, Reply reply) {
+    private void ends(Lookup lk, Consumer<Query> how) {
         Query q = (Query) lk;
         drop(q);
-        asked.add(() -> q.client.answer(q, reply));
+        asked.add(() -> how.accept(q));
     }
 
     @Override
--- a/src/main/java/tinlink/router/NodeLink.java
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -98,8 +98,7 @@
 
     /** Danger: an answer to an earlier part call of that id would pass for one to the new. */
     boolean confuses(Sent s) {
-        return s.segment().sent.stream().anyMatch(o -> o != s && o.over && o.bundle != null
-                && o.bundle.link == this && !o.bundle.waits() && !o.answered);
+        return out.containsKey(s.segment().id) || unanswered.contains(s.segment().id);
     }
 
     void end(Ending how) {
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -93,6 +93,11 @@
     void send(PartCall call, long until) {
         Sent s = new Sent(call, until);
         s.segment().sent.add(s);
+        Target t = target(call.node);
+        if (t.far != null) {
+            t.far.accept(s);
+            return;
+        }
         s.limit = loop.at(until, () -> unanswered(s));
         Bundle b = bundles.computeIfAbsent(call.shared, x -> new Bundle());
         if (b.sent.isEmpty()) {
@@ -105,7 +110,11 @@
 
     void cancel(PartCall call) {
         Sent s = ((Segment) call.part).sent.get(call.number);
-        if (!s.over) {
+        if (!s.over && s.giveUp != null) {
+            s.over = true;
+            s.giveUp.run();
+            turn.outcome(s, Outcome.CANCELLED);
+        } else if (!s.over) {
             over(s, s.bundle.waits() ? Outcome.NOT_SENT : Outcome.CANCELLED, true);
         }
     }
--- a/src/main/java/tinlink/router/QueryReader.java
+++ b/src/main/java/tinlink/router/QueryReader.java
@@ -8,6 +8,7 @@
 import java.util.regex.Pattern;
 import tinlink.decision.Index;
 import tinlink.decision.Part;
+import tinlink.gateway.FarPart;
 import tinlink.net.BadMessage;
 import tinlink.net.JsonReader;
 import tinlink.start.RouterStart;
@@ -15,6 +16,7 @@
 /** Makes a query from the head and the body of a client's request, or says what is wrong with them. */
 final class QueryReader {
     private static final Pattern CALL_ID = Pattern.compile("[A-Za-z0-9_-]{1,64}");
+    private static final Pattern PART_ID = Pattern.compile("[A-Za-z0-9_-]{1,64}\\.[0-9]{1,9}");
     private static final Pattern BUDGET = Pattern.compile("[0-9]{1,9}");
     private static final Pattern KEY = Pattern.compile("[!-+.-~-]{1,128}");
     /** So much may be lost of each share as it is written. */
@@ -48,6 +50,30 @@
         return q;
     }
 
+    /**
+     * A part that another site has passed on, as a lookup of one step.
+     *
+     * @param id of its own among all in hand
+     */
+    Query forwarded(FarPart p, String id, Query.Asker asker) throws BadMessage {
+        Index index = may.indexes().get(p.index);
+        if (index == null || p.shard < 0 || p.shard >= may.shards()) {
+            throw new BadMessage(400, "no such class or shard");
+        }
+        boolean keyed = index.effect == Index.Effect.FINGERPRINTED;
+        if (!PART_ID.matcher(p.id).matches() || keyed && (p.key == null || !KEY.matcher(p.key).matches())) {
+            throw new BadMessage(400, "id or key: not of its form");
+        }
+        Query q = new Query(id, p.text, keyed ? p.key : null, asker);
+        q.index = index;
+        q.repeat = p.repeat;
+        q.forwarded = true;
+        q.leavesAt = p.arrivedAt + p.leftUs;
+        q.parts.add(new Segment(q, p.shard, 1, p.id));
+        q.announced = 1;
+        return q;
+    }
+
     private static String matching(Map<String, String> fields, String name, Pattern pattern)
             throws BadMessage {
         String value = fields.get(name);
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -4,12 +4,14 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import tinlink.decision.Aggregator;
@@ -46,6 +48,7 @@
     /** By uid; a node leaves when it is told as gone. */
     private final Map<String, DataNode> nodes = new HashMap<>();
     private long nodesSeen;
+    private Consumer<BitSet> hears = cells -> { };
     private long revision;
     private Watch watch;
     private long waitUs = FIRST_WAIT_US;
@@ -85,6 +88,29 @@
         return nodes.size();
     }
 
+    /** Hears of the cells with a node that takes new parts, whenever the list has changed. */
+    void tells(Consumer<BitSet> who) {
+        hears = who;
+        tellCells();
+    }
+
+    private void tellCells() {
+        BitSet cells = new BitSet();
+        nodes.values().stream().filter(n -> n.state == DataNode.State.READY && n.cell >= 0)
+                .forEach(n -> cells.set(n.cell));
+        hears.accept(cells);
+    }
+
+    /** A router of another site as the module sees it: one node a cell, of a zone and a kind of their own. */
+    DataNode farNode(String site, int cell) {
+        DataNode n = new DataNode(nodesSeen++);
+        n.state = DataNode.State.DRAINING;
+        n.zone = zones.of(site);
+        n.kind = kinds.of("router of " + site);
+        n.cell = cell;
+        return n;
+    }
+
     /** The list as the router had it before it started; it may be old. */
     void known(Map<?, ?> list) {
         if (!list.isEmpty()) {
@@ -121,6 +147,7 @@
         }
         entries.forEach(Runnable::run);
         turn.input(m -> m.nodes(all ? whole : Aggregator.News.CHANGES));
+        tellCells();
         LOG.log(Level.INFO, "list {0}: {1} told, {2} nodes",
                 new Object[] {String.valueOf(revision), targets.size(), nodes.size()});
     }
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -25,6 +25,8 @@
     private final ModuleTurn turn;
     private final Intake intake;
     private final Roster roster;
+    /** Null where there are no other sites. */
+    private final SiteLinks sites;
     /** As the configuration was last read. */
     private RouterStart start;
     private final CountDownLatch listening = new CountDownLatch(1);
@@ -39,6 +41,7 @@
         intake = stages.intake;
         roster = stages.roster;
         turn.serves(stages.sends, roster::follow);
+        sites = start.gateway == null ? null : new SiteLinks(loop, network, start, stages);
     }
 
     /**
@@ -61,6 +64,9 @@
             turn.begins(loop.now());
             roster.known(start.known);
             network.listen(start.listen);
+            if (sites != null) {
+                sites.start(start.gateway);
+            }
             if (start.pushed) {
                 roster.follow();
             }
@@ -87,6 +93,11 @@
         return network.address();
     }
 
+    /** Where routers of other sites connect. */
+    public InetSocketAddress gatewayAddress() throws IOException {
+        return sites.gateway().address();
+    }
+
     /** From another thread: ends at once, whatever is in hand. */
     public void end() {
         loop.ready(loop::end);
@@ -100,6 +111,9 @@
             try {
                 start = start.again();
                 roster.moveTo(start.discovery);
+                if (sites != null && start.gateway != null) {
+                    sites.again(start.gateway);
+                }
                 LOG.log(Level.INFO, "{0} has read its configuration again", start.name);
             } catch (BadInput e) {
                 LOG.log(Level.WARNING, "reload: {0}; all stays as it was", e.getMessage());
@@ -126,10 +140,13 @@
         loop.at(door, intake::closeDoor);
         loop.at(Math.max(door, loop.now() + LAST_TAKEN_US), () -> endWhenEmpty(last));
         intake.notReady();
+        if (sites != null) {
+            sites.gateway().leave();
+        }
     }
 
     private void endWhenEmpty(long last) {
-        if (intake.isEmpty() || loop.now() >= last) {
+        if (intake.isEmpty() && (sites == null || sites.gateway().isEmpty()) || loop.now() >= last) {
             loop.end();
         } else {
             loop.at(loop.now() + start.links.connectUs() / 8, () -> endWhenEmpty(last));
--- a/src/main/java/tinlink/router/Segment.java
+++ b/src/main/java/tinlink/router/Segment.java
@@ -12,10 +12,14 @@
     String value;
 
     Segment(Query q, int shard, double weight) {
+        this(q, shard, weight, q.callId + "." + shard);
+    }
+
+    Segment(Query q, int shard, double weight, String id) {
         lookup = q;
         this.shard = shard;
         this.weight = weight;
-        id = q.callId + "." + shard;
+        this.id = id;
     }
 
     Query query() {
--- a/src/main/java/tinlink/router/Sent.java
+++ b/src/main/java/tinlink/router/Sent.java
@@ -8,7 +8,10 @@
     final PartCall call;
     final long until;
     Loop.Timer limit;
+    /** Of one that stays at this site. */
     Bundle bundle;
+    /** Of one that goes to another site: how it is given up. */
+    Runnable giveUp;
     /** Its outcome is known. */
     boolean over;
     /** The data node has answered it. */
--- /dev/null
+++ b/src/main/java/tinlink/router/SiteLinks.java
@@ -0,0 +1,184 @@
+package tinlink.router;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.BitSet;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.decision.Aggregator;
+import tinlink.decision.DataNode;
+import tinlink.decision.Index;
+import tinlink.decision.Outcome;
+import tinlink.decision.Part;
+import tinlink.gateway.FarPart;
+import tinlink.gateway.Gateway;
+import tinlink.gateway.Keys;
+import tinlink.gateway.NearPart;
+import tinlink.gateway.choice.FarRouter;
+import tinlink.gateway.choice.Fate;
+import tinlink.net.BadMessage;
+import tinlink.net.Loop;
+import tinlink.net.Network;
+import tinlink.start.GatewayStart;
+import tinlink.start.RouterStart;
+
+/**
+ * What a request's stages and the links with other sites have to do with each other. Far routers stand before the
+ * module as data nodes, one a cell; parts that come from other sites are lookups of one part.
+ */
+final class SiteLinks implements Gateway.Stages, Query.Asker {
+    private static final Logger LOG = Logger.getLogger("tinlink.gateway");
+    private final Loop loop;
+    private final Stages stages;
+    private final Gateway gateway;
+    private final int cells;
+    /** Names of indexes; the module knows them as objects. */
+    private final Map<Index, String> names = new IdentityHashMap<>();
+    /** Of each far router by cell, made as it first serves one: as many as the settings have cells. */
+    private final Map<FarRouter, DataNode[]> nodes = new IdentityHashMap<>();
+    private long begun;
+
+    SiteLinks(Loop loop, Network network, RouterStart start, Stages stages) {
+        this.loop = loop;
+        this.stages = stages;
+        cells = start.cells;
+        start.lookups.indexes().forEach((name, index) -> names.put(index, name));
+        GatewayStart g = start.gateway;
+        gateway = new Gateway(loop, network,
+                new Gateway.Names(g.site, g.router, loop.now(), g.accepts), keys(g),
+                new Gateway.Times(g.beatUs, g.handshakeUs, g.recoverUs, start.longestUs),
+                new Gateway.Bounds(g.takesParts, g.remembers, g.remembersBytes, g.routers, g.waiting),
+                g.far.stream().map(f -> new Gateway.Far(f.site(), f.router(), f.lines())).toList(),
+                start.seed, this);
+    }
+
+    private static Keys keys(GatewayStart g) {
+        return new Keys(Map.copyOf(g.keys), g.useKey);
+    }
+
+    /** From now on lines are opened and taken. */
+    void start(GatewayStart g) throws IOException {
+        if (g.listen != null) {
+            gateway.listen(g.listen);
+        }
+        stages.roster.tells(gateway::cells);
+        stages.turn.beside(gateway.turn());
+        LOG.log(Level.INFO, "event=gateway_on site={0} router={1} far={2} listen={3}", new Object[] {g.site, g.router,
+            g.far.size(), g.listen == null ? "-" : gateway.address()});
+    }
+
+    /** The keys alone are taken over in service. */
+    void again(GatewayStart g) {
+        gateway.keys(keys(g));
+    }
+
+    Gateway gateway() {
+        return gateway;
+    }
+
+    // ---- Parts that go out. ----
+
+    @Override
+    public void serves(FarRouter router, BitSet which, long lineUs) {
+        DataNode[] known = nodes.computeIfAbsent(router, r -> new DataNode[cells]);
+        for (int cell = 0; cell < cells; cell++) {
+            if (known[cell] == null && which.get(cell)) {
+                known[cell] = stages.roster.farNode(gateway.site(router), cell);
+                stages.sends.target(known[cell]).far = s -> forward(router, s);
+            }
+            DataNode n = known[cell];
+            if (n != null) {
+                n.lineUs = lineUs;
+                DataNode.State now = which.get(cell) ? DataNode.State.READY : DataNode.State.DRAINING;
+                boolean changed = n.state != now;
+                n.state = now;
+                if (changed) {
+                    stages.turn.input(m -> m.listed(n, false));
+                }
+            }
+        }
+        stages.turn.input(m -> m.nodes(Aggregator.News.CHANGES));
+    }
+
+    private void forward(FarRouter to, Sent s) {
+        Query q = s.segment().query();
+        NearPart p = new NearPart(s, loop.now(), s.until, s.call.node.cell,
+                q.index.effect == Index.Effect.IDEMPOTENT, s.segment().id, names.get(q.index), s.segment().shard,
+                q.key, q.text, q.repeat);
+        s.giveUp = () -> gateway.giveUp(to, p);
+        gateway.send(to, p);
+    }
+
+    @Override
+    public void ended(NearPart p, Outcome how, long tookUs) {
+        Sent s = (Sent) p.what;
+        if (s.over) {
+            return;
+        }
+        s.over = true;
+        Query q = s.segment().query();
+        if (how == Outcome.SATISFIED) {
+            s.segment().value = new String(p.value, StandardCharsets.UTF_8);
+        } else if (how == Outcome.TURNED_AWAY) {
+            q.comeBackUs = Math.max(q.comeBackUs, p.comeBackUs);
+        }
+        stages.turn.outcome(s, how, tookUs);
+    }
+
+    // ---- Parts that come in. ----
+
+    @Override
+    public void begin(FarPart p) {
+        try {
+            Query q = stages.reader.forwarded(p, "/" + begun++, this);
+            p.what = q;
+            q.origin = p;
+            if (stages.intake.hasRoom(q)) {
+                stages.turn.take(q);
+                return;
+            }
+        } catch (BadMessage e) {
+            LOG.log(Level.FINE, "event=part_not_used why=\"{0}\"", e.getMessage());
+        }
+        gateway.ended(p, Fate.REFUSED, null, 0);
+    }
+
+    @Override
+    public void giveUp(FarPart p) {
+        if (p.what instanceof Query q && !q.ended) {
+            stages.turn.clientGone(q);
+        }
+    }
+
+    @Override
+    public void answered(Query q, boolean whole) {
+        String value = ((Segment) q.parts.get(0)).value;
+        gateway.ended((FarPart) q.origin, Fate.DONE, value.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    @Override
+    public void nacked(Query q, long comeBackUs) {
+        over(q, comeBackUs);
+    }
+
+    @Override
+    public void aborted(Query q) {
+        over(q, 0);
+    }
+
+    @Override
+    public void failed(Query q) {
+        over(q, 0);
+    }
+
+    /** Danger: for an idempotent part a nack says that a repeat is harmless, not that it never ran. */
+    private void over(Query q, long comeBackUs) {
+        boolean never = true;
+        for (Part p : q.parts) {
+            never &= p.calls.stream().allMatch(c -> c.outcome != null && c.outcome.neverRan);
+        }
+        gateway.ended((FarPart) q.origin, never ? Fate.REFUSED : Fate.FAILED, null, comeBackUs);
+    }
+}
--- a/src/main/java/tinlink/router/Stages.java
+++ b/src/main/java/tinlink/router/Stages.java
@@ -7,16 +7,18 @@
 
 /** The stages of a request and the list beside them, put together for one loop and one module. */
 final class Stages {
+    final QueryReader reader;
     final ModuleTurn turn;
     final PartSends sends;
     final Intake intake;
     final Roster roster;
 
     Stages(Loop loop, Network network, RouterStart start, Aggregator module) {
-        turn = new ModuleTurn(loop, module, start.longestUs);
+        turn = new ModuleTurn(loop, module, start.longestUs, start.mostComeBackUs);
         Descriptors descriptors = new Descriptors(start.descriptors);
         sends = new PartSends(loop, network, descriptors, turn, start.links);
-        intake = new Intake(loop, network, descriptors, new QueryReader(start.lookups), turn,
+        reader = new QueryReader(start.lookups);
+        intake = new Intake(loop, network, descriptors, reader, turn,
                 start.lookups.openCap(), start.links.connectUs(), start.mostReading, start.longestUs);
         roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed,
                 start.names);
--- a/src/main/java/tinlink/router/Target.java
+++ b/src/main/java/tinlink/router/Target.java
@@ -3,12 +3,15 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import tinlink.decision.DataNode;
 
 /** A data node as this router reaches it: its address and the connections to it. */
 final class Target {
     final DataNode node;
     InetSocketAddress address;
+    /** Takes what goes to a router of another site; null for a data node of this one. */
+    Consumer<Sent> far;
     /** Open or coming up; each leaves as it ends. */
     final List<NodeLink> links = new ArrayList<>();
 
--- a/src/main/java/tinlink/start/Figures.java
+++ b/src/main/java/tinlink/start/Figures.java
@@ -118,6 +118,11 @@
         throw bad(path, "is no number: " + value);
     }
 
+    /** A number without a fraction that says nothing. */
+    static String shown(double number) {
+        return BigDecimal.valueOf(number).stripTrailingZeros().toPlainString();
+    }
+
     /** Milliseconds with fractions, as whole microseconds. */
     public static long micros(String what, String millis) {
         try {
--- a/src/main/java/tinlink/start/ModuleStart.java
+++ b/src/main/java/tinlink/start/ModuleStart.java
@@ -10,6 +10,8 @@
     public final Aggregator module;
     /** Lookups and parts that may be in hand. */
     final int openCap;
+    /** Clients are told to come back no later; 0 where they are told nothing. */
+    final long mostComeBackUs;
 
     public ModuleStart(long seed, Figures f) {
         indexes = new Index[f.whole("profiles.count", 0)];
@@ -19,6 +21,7 @@
             longestSoft = Math.max(longestSoft, indexes[i].softUs);
         }
         openCap = f.whole("limits.openCap", 1000);
+        mostComeBackUs = f.flag("limits.retryAfter") ? f.micros("limits.maxRetryAfterMs", 0) : 0;
         FastestValid.Health health = new FastestValid.Health(longestSoft);
         module = new FastestValid(
                 new FastestValid.Rounds(f.micros("stepMs", 1000), f.whole("limits.tryLimit", 1),
@@ -32,8 +35,7 @@
                         f.micros("rules.fallMs", 0), health),
                 new FastestValid.Budget(f.micros("rules.lookBackMs", 0), f.number("rules.minExtra", 0),
                         f.number("rules.resendRatio", 0), openCap),
-                new FastestValid.Admission(seed,
-                        f.flag("limits.retryAfter") ? f.micros("limits.maxRetryAfterMs", 0) : 0),
+                new FastestValid.Admission(seed, mostComeBackUs),
                 new FastestValid.ListFollowing(seed, f.text("discovery", "pushed").equals("on_request"),
                         f.micros("rules.mustAskInMs", 1_000_000)));
     }
--- a/src/main/java/tinlink/start/RouterStart.java
+++ b/src/main/java/tinlink/start/RouterStart.java
@@ -41,7 +41,13 @@
     public final long longestUs;
     public final Lookups lookups;
     public final Links links;
+    /** Among which the shards are dealt out. */
+    public final int cells;
     public final Names names;
+    /** Clients are told to come back no later; 0 where they are told nothing. */
+    public final long mostComeBackUs;
+    /** The links with other sites; null where there are none. */
+    public final GatewayStart gateway;
 
     /** What a lookup is checked against. */
     public record Lookups(Map<String, Index> indexes, int shards, int openCap) {
@@ -118,6 +124,10 @@
                 least(f, "limits.streamsPerConn", 1, 1), f.flag("limits.cancel"));
         names = new Names(f.items("localities"), f.items("models"));
         pushed = f.text("discovery", "pushed").equals("pushed");
+        mostComeBackUs = built.mostComeBackUs;
+        cells = f.whole("familyInfo.sets", 1);
+        String gatewayFile = env.getOrDefault("NODE_GATEWAY", "");
+        gateway = gatewayFile.isEmpty() ? null : new GatewayStart(gatewayFile, name);
     }
 
     private static Object or(Map<?, ?> tree, String key) {
