--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -1,11 +1,13 @@
 package tinlink;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import tinlink.benchlink.BenchLink;
+import tinlink.cli.Commands;
 import tinlink.router.Router;
 import tinlink.start.BadInput;
 import tinlink.start.Hangup;
@@ -15,28 +17,32 @@
 
 /** Dispatches the commands of the jar. */
 public final class Main {
+    private static final int SERVED = -1;
+
     private Main() {
     }
 
     public static void main(String[] args) {
+        // Danger: the platform's starts are on part of a core; what is loaded for arguments costs them nothing.
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "benchlink" -> System.exit(new BenchLink(System.in, System.out, System.err).run());
-            case "serve", "warm" -> serve(command.equals("serve"));
-            default -> {
-                System.err.println("usage: java -jar tinlink.jar benchlink|serve|warm");
-                System.err.println("  benchlink   host decision instances on standard input and output");
-                System.err.println("  serve       run one query router, told by NODE_CONFIG");
-                System.err.println("  warm        run its warm-up alone, for an archive of its classes");
-                System.exit(2);
-            }
+            case "serve", "warm" -> exit(serve(System.getenv(), command.equals("serve")));
+            default -> exit(Commands.run(env -> serve(env, true), args));
+        }
+    }
+
+    private static void exit(int status) {
+        if (status != SERVED) {
+            System.exit(status);
         }
     }
 
-    private static void serve(boolean clients) {
+    /** @return the exit status, or SERVED after an orderly stop, which ends the process itself */
+    private static int serve(Map<String, String> env, boolean clients) {
         System.setProperty("java.util.logging.manager", KeptLogs.class.getName());
         try {
-            RouterStart start = new RouterStart(System.getenv());
+            RouterStart start = new RouterStart(env);
             Logger log = Logger.getLogger("tinlink");
             Handler console = new ConsoleHandler();
             console.setLevel(Level.ALL);
@@ -48,7 +54,7 @@
             Hangup.hear(router::reload);
             if (!clients) {
                 router.warmUp();
-                System.exit(0);
+                return 0;
             }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
@@ -59,12 +65,13 @@
             }));
             router.warmUp();
             router.run();
+            return SERVED;
         } catch (BadInput e) {
             System.err.println(e.getMessage());
-            System.exit(1);
+            return 1;
         } catch (IOException e) {
             System.err.println("serve: " + e.getMessage());
-            System.exit(1);
+            return 1;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/tinlink/cli/Commands.java
@@ -0,0 +1,94 @@
+package tinlink.cli;
+
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import tinlink.lab.Emulation;
+import tinlink.lab.GatewayLab;
+import tinlink.start.BadInput;
+
+/** The command line. What the platform calls without arguments does not come here, and loads nothing of this. */
+@Command(name = "tinlink", mixinStandardHelpOptions = true, description = "A query router and gateway between sites.",
+        synopsisSubcommandLabel = "COMMAND", subcommands = Commands.Lab.class)
+public final class Commands implements Runnable {
+    /** Runs a router with this environment, until it is told to stop; its exit status. */
+    public interface Serves {
+        int serve(Map<String, String> env);
+    }
+
+    private final Serves serves;
+
+    private Commands(Serves serves) {
+        this.serves = serves;
+    }
+
+    /** @return the exit status: 0 done, 1 failed or rules broken, 2 not understood */
+    public static int run(Serves serves, String... args) {
+        CommandLine line = new CommandLine(new Commands(serves));
+        line.setExecutionExceptionHandler((e, cmd, result) -> {
+            if (e instanceof BadInput) {
+                cmd.getErr().println(e.getMessage());
+                return 1;
+            }
+            throw e;
+        });
+        return line.execute(args);
+    }
+
+    @Override
+    public void run() {
+        CommandLine.usage(this, System.err);
+    }
+
+    @Command(name = "serve", description = "Run one query router, told by NODE_CONFIG and the other variables.")
+    int serve(@Option(names = "--config", paramLabel = "FILE", description = "as NODE_CONFIG") String config,
+              @Option(names = "--gateway", paramLabel = "FILE", description = "links with other sites, as NODE_GATEWAY")
+              String gateway) {
+        Map<String, String> env = new HashMap<>(System.getenv());
+        if (config != null) {
+            env.put("NODE_CONFIG", config);
+        }
+        if (gateway != null) {
+            env.put("NODE_GATEWAY", gateway);
+        }
+        return serves.serve(env);
+    }
+
+    @Command(name = "emulate", description = "Start two whole sites on loopback, as a file says, until interrupted.")
+    int emulate(@Parameters(paramLabel = "FILE", description = "for example deploy/emulate.json5") String file)
+            throws Exception {
+        return Emulation.run(file);
+    }
+
+    @Command(name = "lab", description = "Experiments on emulated servers; each ends with one line of figures.",
+            subcommands = Gateway.class)
+    static final class Lab implements Runnable {
+        @Override
+        public void run() {
+            CommandLine.usage(this, System.err);
+        }
+    }
+
+    /** The experiment of the gateway. */
+    @Command(name = "gateway", description = "Two sites, lines that are cut, a far router that is killed.")
+    static final class Gateway implements Callable<Integer> {
+        @Option(names = "--seed", defaultValue = "1", description = "of all chance (default: ${DEFAULT-VALUE})")
+        private long seed;
+        @Option(names = "--delay-ms", defaultValue = "200", description = "of the line, each way")
+        private long delayMs;
+        @Option(names = "--seconds", defaultValue = "20", description = "of the side with trouble")
+        private double seconds;
+        @Option(names = "--out", defaultValue = "target/lab/gateway", description = "folder for table and chart")
+        private Path out;
+
+        @Override
+        public Integer call() throws Exception {
+            return new GatewayLab(seed, delayMs, seconds, out).run() ? 0 : 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/emulator/EmulatedClient.java
@@ -0,0 +1,190 @@
+package tinlink.emulator;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Locale;
+import java.util.StringJoiner;
+import java.util.function.Consumer;
+import tinlink.net.BadMessage;
+import tinlink.net.Ending;
+import tinlink.net.HttpReader;
+import tinlink.net.JsonReader;
+import tinlink.net.Link;
+import tinlink.net.Ring;
+
+/** Clients of one router over HTTP/1.1: keep connections, one request at a time on each, open more when all are busy. */
+public final class EmulatedClient {
+    /** @param key null where the index needs none */
+    public record Ask(String id, String index, long budgetMs, List<Integer> shards, String text, String key) {
+    }
+
+    /**
+     * @param status 0 where the connection ended without a whole answer
+     * @param comeBackUs 0 where it has no Retry-After
+     * @param after an answer came after the final one
+     */
+    public record Answer(int status, String body, long atUs, long comeBackUs) {
+        /** The values by shard; empty where there are none. */
+        public java.util.Map<Integer, String> values() {
+            java.util.Map<Integer, String> all = new java.util.TreeMap<>();
+            try {
+                if (status == 200 && JsonReader.of(body) instanceof java.util.Map<?, ?> map
+                        && map.get("matches") instanceof List<?> list) {
+                    for (Object one : list) {
+                        java.util.Map<?, ?> m = (java.util.Map<?, ?>) one;
+                        all.put(((Double) m.get("segment")).intValue(), (String) m.get("payload"));
+                    }
+                }
+            } catch (BadMessage e) {
+                all.put(-1, "unreadable");
+            }
+            return all;
+        }
+
+        public boolean whole() {
+            return status == 200 && body.startsWith("{\"all_in\":true");
+        }
+    }
+
+    private final Ground ground;
+    private InetSocketAddress router;
+    private final ArrayDeque<Conn> idle = new ArrayDeque<>();
+    /** Bytes or answers that came when nothing was asked. */
+    private int stray;
+
+    public EmulatedClient(Ground ground, InetSocketAddress router) {
+        this.ground = ground;
+        this.router = router;
+    }
+
+    /** Asks there from now on. */
+    public void to(InetSocketAddress where) {
+        ground.run(() -> {
+            router = where;
+            List.copyOf(idle).forEach(c -> c.link.end(Ending.DONE));
+        });
+    }
+
+    public int stray() {
+        return ground.on(() -> stray);
+    }
+
+    /** Whoever asked may leave: the connection is closed. */
+    public interface Asked {
+        void leave();
+    }
+
+    /** @param hears of the end, once, on the emulator's thread; never after the asker has left */
+    public Asked ask(Ask a, Consumer<Answer> hears) {
+        return ground.on(() -> {
+            Conn c = idle.poll();
+            if (c == null) {
+                c = new Conn();
+                try {
+                    c.link = ground.network.connect(router, c);
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+            c.ask(a, hears);
+            Conn at = c;
+            return () -> ground.run(() -> {
+                if (at.hears == hears) {
+                    at.hears = null;
+                    at.link.end(Ending.DONE);
+                }
+            });
+        });
+    }
+
+    private final class Conn implements Link.Owner, HttpReader.Sink {
+        private final HttpReader reader = HttpReader.ofAnswers(this);
+        private Link link;
+        private Consumer<Answer> hears;
+        private int status;
+        private long comeBackUs;
+        private boolean closes;
+        private final StringBuilder body = new StringBuilder();
+
+        void ask(Ask a, Consumer<Answer> hears) {
+            this.hears = hears;
+            StringJoiner parts = new StringJoiner(",");
+            for (int s : a.shards()) {
+                parts.add("{\"segment\":" + s + ",\"boost\":" + 1.0 / a.shards().size() + "}");
+            }
+            byte[] b = ("{\"segments\":[" + parts + "],\"text\":\"" + a.text() + "\"}")
+                    .getBytes(StandardCharsets.UTF_8);
+            link.out().put("POST /api HTTP/1.1\r\nHost: tinlink\r\nX-Call-Id: " + a.id() + "\r\nX-Call-Class: "
+                    + a.index() + "\r\nX-Budget-Ms: " + a.budgetMs() + "\r\n"
+                    + (a.key() == null ? "" : "Idempotency-Key: " + a.key() + "\r\n")
+                    + "Content-Length: " + b.length + "\r\n\r\n").put(b);
+            link.later();
+        }
+
+        @Override
+        public void up() {
+            link.later();
+        }
+
+        @Override
+        public void arrived(Ring in) {
+            try {
+                while (in.size() > 0) {
+                    stray += hears == null ? 1 : 0;
+                    reader.read(in);
+                }
+            } catch (BadMessage e) {
+                link.end(Ending.BAD_INPUT);
+            }
+        }
+
+        @Override
+        public void first(String version, String status, String words) {
+            this.status = Integer.parseInt(status);
+            comeBackUs = 0;
+            closes = false;
+            body.setLength(0);
+        }
+
+        @Override
+        public void field(String name, String value) {
+            if (name.toLowerCase(Locale.ROOT).equals("retry-after")) {
+                comeBackUs = Math.round(1e6 * Double.parseDouble(value));
+            }
+            closes |= name.toLowerCase(Locale.ROOT).equals("connection") && value.contains("close");
+        }
+
+        @Override
+        public void body(ByteBuffer piece) {
+            body.append(StandardCharsets.UTF_8.decode(piece));
+        }
+
+        @Override
+        public void over() {
+            tell(new Answer(status, body.toString().strip(), ground.now(), comeBackUs));
+            if (closes) {
+                link.end(Ending.DONE);
+            } else if (!link.isOver()) {
+                idle.add(this);
+            }
+        }
+
+        private void tell(Answer a) {
+            Consumer<Answer> who = hears;
+            hears = null;
+            if (who != null) {
+                who.accept(a);
+            }
+        }
+
+        @Override
+        public void ended(Ending how) {
+            idle.remove(this);
+            tell(new Answer(0, how.name(), ground.now(), 0));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/emulator/EmulatedDiscovery.java
@@ -0,0 +1,105 @@
+package tinlink.emulator;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tinlink.net.BadMessage;
+import tinlink.net.Ending;
+import tinlink.net.HttpReader;
+import tinlink.net.Link;
+import tinlink.net.Network;
+import tinlink.net.Protocol;
+import tinlink.net.Ring;
+
+/** Discovery of one site: tells each watch the whole list, then what changes, and an empty line while nothing does. */
+public final class EmulatedDiscovery {
+    private final Ground ground;
+    private final Network.Listening listening;
+    private final Set<Watch> watches = new HashSet<>();
+    /** By uid, the fields of each entry as they were last told. */
+    private final Map<String, String> entries = new LinkedHashMap<>();
+    private long revision = 1;
+
+    EmulatedDiscovery(Ground ground) throws IOException {
+        this.ground = ground;
+        listening = ground.listen(Ground.loopback(0), Watch::new);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return listening.address();
+    }
+
+    /** @param state in_service, terminating or terminated */
+    public void tell(EmulatedNode n, String zone, String state) {
+        ground.run(() -> {
+            String entry = "{\"uid\":\"" + n.uid + "\",\"endpoint\":\"127.0.0.1:" + n.address().getPort()
+                    + "\",\"az\":\"" + zone + "\",\"model\":\"m\",\"pod_group\":" + n.cell + ",\"state\":\"" + state
+                    + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+            if (state.equals("terminated")) {
+                entries.remove(n.uid);
+            } else {
+                entries.put(n.uid, entry);
+            }
+            revision++;
+            watches.forEach(w -> w.line(object(false, List.of(entry))));
+        });
+    }
+
+    private String object(boolean all, Iterable<String> some) {
+        return "{\"rev\":" + revision + ",\"all\":" + all + ",\"targets\":[" + String.join(",", some) + "]}";
+    }
+
+    private final class Watch implements Ground.Owner, HttpReader.Sink {
+        private final HttpReader reader = HttpReader.ofRequests(this);
+        private Link link;
+
+        @Override
+        public void on(Link link) {
+            this.link = link;
+        }
+
+        @Override
+        public void arrived(Ring in) {
+            try {
+                while (in.size() > 0) {
+                    reader.read(in);
+                }
+            } catch (BadMessage e) {
+                link.end(Ending.BAD_INPUT);
+            }
+        }
+
+        @Override
+        public void over() {
+            link.out().put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            line(object(true, entries.values()));
+            watches.add(this);
+            beat();
+        }
+
+        private void beat() {
+            ground.at(ground.now() + Protocol.WATCH_LINE_US, () -> {
+                if (watches.contains(this)) {
+                    line("");
+                    beat();
+                }
+            });
+        }
+
+        void line(String text) {
+            byte[] b = (text + "\n").getBytes(StandardCharsets.UTF_8);
+            link.out().put(Integer.toHexString(b.length) + "\r\n").put(b).put("\r\n");
+            link.later();
+        }
+
+        @Override
+        public void ended(Ending how) {
+            watches.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/emulator/EmulatedLine.java
@@ -0,0 +1,244 @@
+package tinlink.emulator;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import tinlink.net.Ending;
+import tinlink.net.Link;
+import tinlink.net.Network;
+import tinlink.net.Ring;
+
+/**
+ * A line between two sites: takes connections at an address of its own and carries their bytes to another, later.
+ * Each way has a delay with jitter (bytes never overtake each other) and a bandwidth. It can be cut, go silent in
+ * one or both ways, change bytes, and be cut at a chosen byte.
+ */
+public final class EmulatedLine {
+    /** @param jitterUs is added evenly from 0 to this; @param bytesPerS 0 for no bound */
+    public record Way(long delayUs, long jitterUs, long bytesPerS) {
+    }
+
+    private final Ground ground;
+    private final Network.Listening listening;
+    private final InetSocketAddress address;
+    private final SplittableRandom random;
+    private final Set<Pair> pairs = new HashSet<>();
+    private Way there;
+    private Way back;
+    private InetSocketAddress to;
+    private boolean cut;
+    private boolean silentThere;
+    private boolean silentBack;
+    /** The chance that one byte of a chunk is changed. */
+    private double noise;
+    /** It is cut once so many more bytes have gone there, or back; below 0 not at all. */
+    private long cutAfterThere = -1;
+    private long cutAfterBack = -1;
+
+    public EmulatedLine(Ground ground, Way there, Way back, long seed) throws IOException {
+        this.ground = ground;
+        this.there = there;
+        this.back = back;
+        random = new SplittableRandom(seed);
+        listening = ground.listen(Ground.loopback(0), Pair::new);
+        address = listening.address();
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Where it leads from now on. */
+    public void to(InetSocketAddress where) {
+        ground.run(() -> to = where);
+    }
+
+    public void ways(Way there, Way back) {
+        ground.run(() -> {
+            this.there = there;
+            this.back = back;
+        });
+    }
+
+    /** Breaks all connections, and each new one at once, until it is mended. */
+    public void cut() {
+        ground.run(this::cutNow);
+    }
+
+    private void cutNow() {
+        cut = true;
+        cutAfterThere = -1;
+        cutAfterBack = -1;
+        List.copyOf(pairs).forEach(Pair::end);
+    }
+
+    /** Breaks all connections; new ones go through. */
+    public void snap() {
+        ground.run(() -> List.copyOf(pairs).forEach(Pair::end));
+    }
+
+    public void mend() {
+        ground.run(() -> {
+            cut = false;
+            boolean was = silentThere || silentBack;
+            silentThere = false;
+            silentBack = false;
+            noise = 0;
+            if (was) {
+                List.copyOf(pairs).forEach(Pair::end); // What was swallowed can't be made good.
+            }
+        });
+    }
+
+    /** What goes that way is swallowed; nothing breaks. */
+    public void silent(boolean there, boolean back) {
+        ground.run(() -> {
+            silentThere = there;
+            silentBack = back;
+        });
+    }
+
+    public void noise(double chance) {
+        ground.run(() -> noise = chance);
+    }
+
+    /** Cut when so many more bytes have gone; -1 for never. */
+    public void cutAfter(long bytesThere, long bytesBack) {
+        ground.run(() -> {
+            cutAfterThere = bytesThere;
+            cutAfterBack = bytesBack;
+        });
+    }
+
+    /** One connection: two links and what is between them. */
+    private final class Pair implements Ground.Owner {
+        private final Half far = new Half(false);
+        private Link near;
+        private long freeThere;
+        private long freeBack;
+        private boolean over;
+
+        private final class Half implements Link.Owner {
+            private final boolean there;
+            private Link link;
+            private final List<byte[]> early = new ArrayList<>();
+
+            Half(boolean there) {
+                this.there = there;
+            }
+
+            @Override
+            public void up() {
+                early.forEach(b -> link.out().put(b));
+                early.clear();
+                link.later();
+            }
+
+            @Override
+            public void arrived(Ring in) {
+                carry(in, there);
+            }
+
+            @Override
+            public void ended(Ending how) {
+                later(there, Pair.this::end);
+            }
+        }
+
+        @Override
+        public void on(Link link) {
+            near = link;
+            pairs.add(this);
+            try {
+                if (cut || to == null) {
+                    end();
+                } else {
+                    far.link = ground.network.connect(to, far);
+                }
+            } catch (IOException e) {
+                end();
+            }
+        }
+
+        @Override
+        public void arrived(Ring in) {
+            carry(in, true);
+        }
+
+        @Override
+        public void ended(Ending how) {
+            later(true, this::end);
+        }
+
+        private void carry(Ring in, boolean there) {
+            while (in.size() > 0 && !over) {
+                ByteBuffer run = in.takeRun(in.size());
+                byte[] b = new byte[run.remaining()];
+                run.get(b);
+                long left = there ? cutAfterThere : cutAfterBack;
+                boolean last = left >= 0 && b.length >= left;
+                if (last) {
+                    b = java.util.Arrays.copyOf(b, (int) left);
+                } else if (left >= 0) {
+                    cutAfterThere -= there ? b.length : 0;
+                    cutAfterBack -= there ? 0 : b.length;
+                }
+                if (there ? silentThere : silentBack) {
+                    continue;
+                }
+                if (b.length > 0 && noise > 0 && random.nextDouble() < noise) {
+                    b[random.nextInt(b.length)] ^= (byte) (1 + random.nextInt(255));
+                }
+                byte[] piece = b;
+                later(there, piece.length, () -> {
+                    if (there && !far.link.isUp() && !far.link.isOver()) {
+                        far.early.add(piece);
+                    } else if (!(there ? far.link : near).isOver()) {
+                        Link to = there ? far.link : near;
+                        to.out().put(piece);
+                        to.later();
+                    }
+                });
+                if (last) {
+                    cutAfterThere = -1;
+                    cutAfterBack = -1;
+                    cut = true;
+                    later(there, 0, EmulatedLine.this::cutNow); // Once what came before has arrived.
+                }
+            }
+        }
+
+        private void later(boolean there, Runnable what) {
+            later(there, 0, what);
+        }
+
+        private void later(boolean there, int bytes, Runnable what) {
+            Way w = there ? EmulatedLine.this.there : back;
+            long free = there ? freeThere : freeBack;
+            long at = Math.max(free, ground.now() + w.delayUs()
+                    + (w.jitterUs() > 0 ? random.nextLong(w.jitterUs()) : 0))
+                    + (w.bytesPerS() > 0 ? 1_000_000L * bytes / w.bytesPerS() : 0);
+            freeThere = there ? at : freeThere;
+            freeBack = there ? freeBack : at;
+            ground.at(at, () -> {
+                if (!over) {
+                    what.run();
+                }
+            });
+        }
+
+        void end() {
+            over = true;
+            pairs.remove(this);
+            near.end(Ending.DONE);
+            if (far.link != null) {
+                far.link.end(Ending.DONE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/emulator/EmulatedNode.java
@@ -0,0 +1,235 @@
+package tinlink.emulator;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.apache.commons.statistics.distribution.LogNormalDistribution;
+import tinlink.net.Ending;
+import tinlink.net.Link;
+import tinlink.net.Network;
+import tinlink.net.Protocol;
+import tinlink.net.Ring;
+
+/**
+ * A data node of our own on loopback: takes part calls in frames, works on them with so many cores and a bounded
+ * queue, answers each, and records what ran. It can be told to stall, to fail, to turn away, to die and to return.
+ */
+public final class EmulatedNode {
+    /** How it does its work at the moment. */
+    public enum Mood { WELL, STALLED, FAILING, REFUSING }
+
+    /** @param medianUs of the time that a part takes; sigma of its logarithm */
+    public record Work(int cores, int queue, double medianUs, double sigma) {
+    }
+
+    public final String uid;
+    public final int cell;
+    private final Ground ground;
+    private final Runs runs;
+    private final Work work;
+    private final LogNormalDistribution times;
+    private final SplittableRandom random;
+    private final Set<Caller> callers = new HashSet<>();
+    private final ArrayDeque<Job> queue = new ArrayDeque<>();
+    /** Parts that it has begun and, stalled, does not go on with. */
+    private final List<Job> held = new ArrayList<>();
+    private Network.Listening listening;
+    private InetSocketAddress address;
+    private Mood mood = Mood.WELL;
+    private int busy;
+    private long life;
+
+    private record Job(Caller from, String id, String key, String text) {
+    }
+
+    EmulatedNode(Ground ground, Runs runs, String uid, int cell, Work work, long seed) throws IOException {
+        this.ground = ground;
+        this.runs = runs;
+        this.uid = uid;
+        this.cell = cell;
+        this.work = work;
+        times = LogNormalDistribution.of(Math.log(work.medianUs()), work.sigma());
+        random = new SplittableRandom(seed);
+        listening = ground.listen(Ground.loopback(0), Caller::new);
+        address = listening.address();
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    public void mood(Mood now) {
+        ground.run(() -> {
+            mood = now;
+            if (now != Mood.STALLED) {
+                List<Job> all = List.copyOf(held);
+                held.clear();
+                all.forEach(this::done);
+            }
+        });
+    }
+
+    /** Its process is gone: connections break, new ones are refused, what was in hand is never answered. */
+    public void die() {
+        ground.run(() -> {
+            listening.close();
+            life++;
+            queue.clear();
+            held.clear();
+            busy = 0;
+            List.copyOf(callers).forEach(c -> c.link.end(Ending.DONE));
+        });
+    }
+
+    /** It is back at its address. */
+    public void live() {
+        ground.run(() -> {
+            try {
+                listening = ground.listen(address, Caller::new);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    // ---- Its work. ----
+
+    private void take(Job j) {
+        if (mood == Mood.REFUSING || queue.size() >= work.queue()) {
+            answer(j, "REJECTED", "");
+        } else {
+            queue.add(j);
+            next();
+        }
+    }
+
+    private void next() {
+        while (busy < work.cores() && !queue.isEmpty()) {
+            Job j = queue.poll();
+            busy++;
+            runs.ran(new Runs.Run(j.id, uid, ground.now(), j.key));
+            long now = life;
+            double us = times.inverseCumulativeProbability(0.0005 + 0.999 * random.nextDouble());
+            ground.at(ground.now() + Math.max(1, Math.round(us)), () -> {
+                if (life == now) {
+                    done(j);
+                }
+            });
+        }
+    }
+
+    private void done(Job j) {
+        if (mood == Mood.STALLED) {
+            held.add(j);
+            return;
+        }
+        busy--;
+        boolean fails = mood == Mood.FAILING;
+        answer(j, fails ? "ERROR" : "OK", fails ? "" : Runs.value(j.id, j.text));
+        next();
+    }
+
+    private static void answer(Job j, String end, String value) {
+        if (!j.from.link.isOver()) {
+            j.from.frame('Y', j.id + " " + end + " 1 -\n" + value);
+        }
+    }
+
+    /** A router's connection. */
+    private final class Caller implements Ground.Owner {
+        private Link link;
+        private int head;
+        private int length;
+        private ByteBuffer frame;
+
+        @Override
+        public void on(Link link) {
+            this.link = link;
+            callers.add(this);
+        }
+
+        @Override
+        public void arrived(Ring in) {
+            while (in.size() > 0 && !link.isOver()) {
+                if (head < 4) {
+                    length = length << 8 | in.take() & 0xff;
+                    if (++head == 4) {
+                        if (length < 1 || length > 64 * (Protocol.MOST_HEAD + Protocol.MOST_BODY)) {
+                            unusable("a length of " + length);
+                            return;
+                        }
+                        frame = ByteBuffer.allocate(length);
+                    }
+                    continue;
+                }
+                frame.put(in.takeRun(frame.remaining()));
+                if (!frame.hasRemaining()) {
+                    head = 0;
+                    length = 0;
+                    whole(frame.flip());
+                }
+            }
+        }
+
+        private void whole(ByteBuffer f) {
+            byte letter = f.get();
+            if (letter == 'A') {
+                String id = StandardCharsets.UTF_8.decode(f).toString();
+                queue.removeIf(j -> j.from == this && j.id.equals(id));
+            } else if (letter == 'R') {
+                while (f.hasRemaining()) {
+                    if (!part(f)) {
+                        unusable("a line that can't be read");
+                        return;
+                    }
+                }
+            } else {
+                unusable("a letter " + letter);
+            }
+        }
+
+        /** One line and its text. */
+        private boolean part(ByteBuffer f) {
+            int from = f.position();
+            int lf = from;
+            while (lf < f.limit() && f.get(lf) != '\n') {
+                lf++;
+            }
+            String[] w = new String(f.array(), from, lf - from, StandardCharsets.UTF_8).split(" ");
+            if (lf == f.limit() || w.length != 4 || !w[1].matches("[0-9]{1,9}") || !w[3].matches("[0-9]{1,6}")
+                    || Integer.parseInt(w[3]) > f.limit() - lf - 1) {
+                return false;
+            }
+            int n = Integer.parseInt(w[3]);
+            int at = w[2].indexOf("k=");
+            take(new Job(this, w[0], at < 0 ? null : w[2].substring(at + 2),
+                    new String(f.array(), lf + 1, n, StandardCharsets.UTF_8)));
+            f.position(lf + 1 + n);
+            return true;
+        }
+
+        private void unusable(String why) {
+            frame('N', why);
+            ground.at(ground.now() + 1000, () -> link.end(Ending.BAD_INPUT));
+        }
+
+        private void frame(char letter, String rest) {
+            byte[] b = (letter + rest).getBytes(StandardCharsets.UTF_8);
+            link.out().put(ByteBuffer.allocate(4).putInt(b.length).array()).put(b);
+            link.later();
+        }
+
+        @Override
+        public void ended(Ending how) {
+            callers.remove(this);
+            queue.removeIf(j -> j.from == this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/emulator/Ground.java
@@ -0,0 +1,117 @@
+package tinlink.emulator;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tinlink.net.Link;
+import tinlink.net.Loop;
+import tinlink.net.Network;
+
+/**
+ * The loop on which all stand-ins of an emulation run, on a thread of its own. Its state belongs to that thread;
+ * {@link #on} reaches it from others.
+ */
+public final class Ground implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger("tinlink.emulator");
+    final Loop loop = new Loop();
+    final Network network;
+    private final Thread thread;
+
+    public Ground() throws IOException {
+        network = new Network(loop);
+        thread = new Thread(() -> loop.run(new Loop.Turn() {
+            @Override
+            public void begins(long nowUs) {
+                // Stand-ins read the loop's clock themselves.
+            }
+
+            @Override
+            public void decides() {
+                // Stand-ins act as they are told, at once.
+            }
+        }), "emulator");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Runs on the loop's thread, and returns what came of it; on that thread itself, at once. */
+    public <T> T on(Supplier<T> what) {
+        if (Thread.currentThread() == thread) {
+            return what.get();
+        }
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.ready(() -> {
+            try {
+                done.complete(what.get());
+            } catch (RuntimeException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.join();
+    }
+
+    public void run(Runnable what) {
+        on(() -> {
+            what.run();
+            return null;
+        });
+    }
+
+    /** Microseconds, of the turn in hand. */
+    public long now() {
+        return loop.now();
+    }
+
+    public void at(long us, Runnable what) {
+        loop.at(us, what);
+    }
+
+    /** A free port of loopback, or that one. */
+    static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Whoever connects there gets an owner made by the door. */
+    Network.Listening listen(InetSocketAddress at, Supplier<Owner> owners) throws IOException {
+        Network.Listening listening = network.listening(at);
+        listening.accept(new Network.Door() {
+            @Override
+            public Link.Owner owner() {
+                return owners.get();
+            }
+
+            @Override
+            public void opened(Link link, Link.Owner owner) {
+                ((Owner) owner).on(link);
+            }
+
+            @Override
+            public boolean mayOpen() {
+                return true;
+            }
+
+            @Override
+            public void acceptFailed(Throwable why) {
+                LOG.log(Level.WARNING, "event=accept_failed", why);
+            }
+        });
+        return listening;
+    }
+
+    /** The owner of a connection that a stand-in has accepted. */
+    interface Owner extends Link.Owner {
+        void on(Link link);
+    }
+
+    @Override
+    public void close() {
+        loop.ready(() -> {
+            network.close();
+            loop.end();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/emulator/Runs.java
@@ -0,0 +1,50 @@
+package tinlink.emulator;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What ran where, as the data nodes saw it: the record that rules are checked against. Keeps the newest only. */
+public final class Runs {
+    /** One run of a part, which had its effect at that time; key is null where it had none. */
+    public record Run(String part, String node, long atUs, String key) {
+    }
+
+    private final int most;
+    private final Map<String, List<Run>> byPart = new HashMap<>();
+    private final ArrayDeque<Run> inOrder = new ArrayDeque<>();
+
+    /** @param most runs that are remembered */
+    public Runs(int most) {
+        this.most = most;
+    }
+
+    void ran(Run r) {
+        byPart.computeIfAbsent(r.part, p -> new ArrayList<>(1)).add(r);
+        inOrder.add(r);
+        if (inOrder.size() > most) {
+            Run old = inOrder.poll();
+            List<Run> others = byPart.get(old.part);
+            others.remove(old);
+            if (others.isEmpty()) {
+                byPart.remove(old.part);
+            }
+        }
+    }
+
+    /** In the order in which they began; of a part that never ran, none. */
+    public List<Run> of(String part) {
+        return List.copyOf(byPart.getOrDefault(part, List.of()));
+    }
+
+    public int size() {
+        return inOrder.size();
+    }
+
+    /** The value that a data node makes for a part; nobody else can make it up. */
+    public static String value(String part, String text) {
+        return "v-" + part + "-" + Integer.toHexString((part + "|" + text).hashCode());
+    }
+}
--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -250,6 +250,9 @@
     public void ended(Forwarded part, Fate fate) {
         NearPart p = (NearPart) part;
         counters.add("near_" + fate.name().toLowerCase(Locale.ROOT));
+        if (p.wasUnsure() && !p.repeatable) {
+            counters.add("near_unsure_" + (p.died() ? "died" : fate.name().toLowerCase(Locale.ROOT)));
+        }
         stages.ended(p, fate.outcome, fate == Fate.DONE ? p.tookUs : -1);
     }
 
--- a/src/main/java/tinlink/gateway/choice/FarRouter.java
+++ b/src/main/java/tinlink/gateway/choice/FarRouter.java
@@ -113,6 +113,7 @@
             leaving = false;
             for (Lane each : lanes) {
                 for (Forwarded p : List.copyOf(each.parts.values())) {
+                    p.died = true;
                     end(p, Fate.MAY_HAVE_RUN);
                 }
                 each.stale = each != l;
@@ -151,7 +152,8 @@
     /** Nobody will say on its own any more what becomes of what is out on that line. */
     private void unsure(Lane l, Predicate<Forwarded> left) {
         for (Forwarded p : List.copyOf(l.parts.values())) {
-            if (!left.test(p)) {
+            // Danger: what outlived one cut has left; its place in the stream was that of another connection.
+            if (!p.wasUnsure() && !left.test(p)) {
                 end(p, Fate.NEVER_LEFT);
             } else if (p.repeatable && elsewhere.serves(p.cell, this)) {
                 end(p, Fate.MAY_HAVE_RUN); // A second run does no harm and another router can begin now.
--- a/src/main/java/tinlink/gateway/choice/Forwarded.java
+++ b/src/main/java/tinlink/gateway/choice/Forwarded.java
@@ -23,6 +23,7 @@
     long number;
     long waitsUntil;
     long unsureSince;
+    boolean died;
 
     protected Forwarded(long until, int cell, boolean repeatable) {
         this.until = until;
@@ -30,6 +31,16 @@
         this.repeatable = repeatable;
     }
 
+    /** Its line was cut while it was out, and nobody could tell at once whether it ran. */
+    public boolean wasUnsure() {
+        return unsureSince > 0;
+    }
+
+    /** The router that it went to has started anew since. */
+    public boolean died() {
+        return died;
+    }
+
     public long number() {
         return number;
     }
--- /dev/null
+++ b/src/main/java/tinlink/lab/GatewayLab.java
@@ -0,0 +1,260 @@
+package tinlink.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.HdrHistogram.Histogram;
+import tinlink.emulator.EmulatedLine;
+import tinlink.emulator.EmulatedNode;
+
+/**
+ * The experiment of the gateway: two sites of two routers, a third of the lookups with a part that the other site
+ * alone holds, all three effects. Three sides of one run: without trouble; with lines that are cut, silent or noisy
+ * and a far router killed; and the same trouble with no fates asked.
+ */
+public final class GatewayLab {
+    private static final Logger LOG = Logger.getLogger("tinlink");
+    private static final long BUDGET_MS = 3000;
+    private static final double PER_SECOND = 40;
+    private static final double FAR_SHARE = 1.0 / 3;
+    /** Effects as data nodes have them: idempotent, partial ones too; fingerprinted; once-only. */
+    private static final List<Load.Kind> KINDS = List.of(new Load.Kind("find", false, false, 0, 0.3),
+            new Load.Kind("sum", false, false, 0, 1), new Load.Kind("pay", true, false, 1_500_000, 1),
+            new Load.Kind("once", false, true, 0, 1));
+    private static final String PROFILES = profile("find", "pure", 0) + "," + profile("sum", "pure", 0) + ","
+            + profile("pay", "token", 1500) + "," + profile("once", "side_effect", 0);
+    private final long seed;
+    private final long delayMs;
+    private final double seconds;
+    private final Path folder;
+
+    /** What one side showed. */
+    private static final class Side {
+        final String name;
+        final Rules rules = new Rules();
+        final Histogram all = new Histogram(60_000_000, 3);
+        final Histogram near = new Histogram(60_000_000, 3);
+        final Histogram far = new Histogram(60_000_000, 3);
+        int lookups;
+        int whole;
+        int partial;
+        int nacked;
+        int aborted;
+        int killed;
+        int onceAborted;
+        int stray;
+        /** Once-only and fingerprinted parts whose line was cut while their far router lived, by what came of them. */
+        long unsure;
+        long recovered;
+        final Map<String, Integer> troubles = new LinkedHashMap<>();
+
+        Side(String name) {
+            this.name = name;
+        }
+
+        double ms(Histogram h, double percentile) {
+            return h.getValueAtPercentile(percentile) / 1000.0;
+        }
+    }
+
+    public GatewayLab(long seed, long delayMs, double seconds, Path folder) {
+        this.seed = seed;
+        this.delayMs = delayMs;
+        this.seconds = seconds;
+        this.folder = folder;
+    }
+
+    private static String profile(String name, String effect, long windowMs) {
+        return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"onTimeMs\":2000,\"deadlineMs\":"
+                + BUDGET_MS + ",\"windowMs\":" + windowMs + ",\"worth\":1,\"lateWorth\":0.3}";
+    }
+
+    private TwoSites world(boolean fates) throws IOException, InterruptedException {
+        EmulatedLine.Way way = new EmulatedLine.Way(1000 * delayMs, 100 * delayMs, 2_000_000);
+        return new TwoSites(new TwoSites.Plan(Map.of("east", List.of(0, 0, 1, 1, 2, 2, 3, 3),
+                "west", List.of(2, 2, 3, 3, 4, 4, 5, 5)), 6, 2, 1, way, way, new EmulatedNode.Work(4, 64, 4000, 0.5),
+                "\"tryLimit\":3,\"secondCopies\":true,\"cancel\":true,\"retryAfter\":true,\"maxRetryAfterMs\":1000,"
+                + "\"openCap\":2000,\"connectTimeoutMs\":250,\"connIdleMs\":30000,\"streamsPerConn\":100",
+                PROFILES, "\"completeFrom\":[1,1,1,1],\"minShare\":[0.3,1,1,1],\"incompleteWorth\":[0.5,0,0,0]",
+                fates ? "recover_ms: 2500" : "recover_ms: 0", 0, seed));
+    }
+
+    /** @return whether the rules were kept and all that must be shown was shown */
+    public boolean run() throws IOException, InterruptedException {
+        LOG.setLevel(Level.SEVERE); // Lines that go down are the purpose here.
+        Side calm = side("calm", seconds / 4, false, true);
+        Side fates = side("trouble", seconds, true, true);
+        Side without = side("trouble, no fates asked", seconds / 2, true, false);
+        List<Side> sides = List.of(calm, fates, without);
+        String table = table(sides);
+        System.out.println(table);
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("table.txt"), table);
+        Charts.latencies(folder.resolve("latency.png"), "Lookups by what they need, " + delayMs + " ms each way",
+                Map.of("calm, near", calm.near, "calm, far", calm.far, "trouble, near", fates.near, "trouble, far",
+                        fates.far));
+        double hop = calm.ms(calm.far, 50) - calm.ms(calm.near, 50) - 2 * (delayMs + delayMs / 20.0);
+        double nearRatio = fates.ms(fates.near, 99) / calm.ms(calm.near, 99);
+        double share = fates.unsure == 0 ? 1 : (double) fates.recovered / fates.unsure;
+        System.out.printf(Locale.ROOT, "hop over the line's delay at the median: %.1f ms; near-only p99 with trouble over"
+                + " without: %.2f; recovered %d of %d parts that may run once and whose far router lived%n", hop,
+                nearRatio, fates.recovered, fates.unsure);
+        List<String> broken = new ArrayList<>();
+        for (Side s : sides) {
+            Rules r = s.rules;
+            note(broken, s.name + " lost", r.lost);
+            note(broken, s.name + " late", r.late);
+            note(broken, s.name + " repeated", r.repeated);
+            note(broken, s.name + " dishonest", r.dishonest);
+            if (s.stray > 0) {
+                broken.add(s.name + " answered after the final answer");
+            }
+        }
+        System.out.printf(Locale.ROOT, "gateway: lookups=%d whole=%d partial=%d nacked=%d aborted=%d lost=%d late=%d "
+                + "repeated=%d dishonest=%d p50_ms=%.1f p99_ms=%.1f near_p99_ms=%.1f near_ratio=%.2f hop_ms=%.1f "
+                + "recovered=%.2f   %s%n", fates.lookups, fates.whole, fates.partial, fates.nacked, fates.aborted,
+                fates.rules.lost.size(), fates.rules.late.size(), fates.rules.repeated.size(),
+                fates.rules.dishonest.size(), fates.ms(fates.all, 50), fates.ms(fates.all, 99),
+                fates.ms(fates.near, 99), nearRatio, hop, share,
+                broken.isEmpty() ? "RULES KEPT" : "RULES BROKEN: " + String.join("; ", broken));
+        return broken.isEmpty();
+    }
+
+    private static void note(List<String> broken, String what, List<String> found) {
+        if (!found.isEmpty()) {
+            broken.add(what + " " + found.size() + " (" + found.get(0) + ")");
+        }
+    }
+
+    private Side side(String name, double seconds, boolean trouble, boolean fates)
+            throws IOException, InterruptedException {
+        Side side = new Side(name);
+        try (TwoSites world = world(fates)) {
+            world.joined(10_000);
+            // Code that runs for the first time is slow: some lookups go before what counts.
+            Load warm = new Load(world);
+            warm.run(new SplittableRandom(seed), "warm", 1.5, PER_SECOND, KINDS, FAR_SHARE, BUDGET_MS);
+            warm.await(5000);
+            Load load = new Load(world);
+            load.run(new SplittableRandom(seed + 1), "q", seconds, PER_SECOND, KINDS, FAR_SHARE, BUDGET_MS);
+            if (trouble) {
+                trouble(world, load, new SplittableRandom(seed + 2), seconds, side);
+            } else {
+                Thread.sleep(Math.round(1000 * seconds));
+            }
+            load.await(BUDGET_MS + 1000);
+            Thread.sleep(300); // What is sent after a final answer, or runs after a nack, would come now.
+            Predicate<Load.Asked> any = a -> true;
+            List<Load.Asked> all = load.asked(any);
+            world.ground.run(() -> side.rules.check(all, world.runs));
+            sum(side, all);
+            for (TwoSites.Running r : world.routers.values()) {
+                side.stray += r.clients.stray();
+                for (String end : List.of("done", "failed", "refused", "never_begun", "never_left")) {
+                    side.recovered += r.count("near_unsure_" + end);
+                }
+                for (String end : List.of("no_answer", "may_have_run")) {
+                    side.unsure += r.count("near_unsure_" + end);
+                }
+            }
+            side.unsure += side.recovered;
+        }
+        return side;
+    }
+
+    private static void sum(Side s, List<Load.Asked> all) {
+        for (Load.Asked a : all) {
+            s.lookups++;
+            if (a.routerKilled || a.answer == null) {
+                s.killed++;
+                continue;
+            }
+            s.whole += a.answer.whole() ? 1 : 0;
+            s.partial += a.satisfied() && !a.answer.whole() ? 1 : 0;
+            s.nacked += a.nacked() ? 1 : 0;
+            boolean aborted = !a.satisfied() && !a.nacked();
+            s.aborted += aborted ? 1 : 0;
+            s.onceAborted += aborted && !a.kind.idempotent() ? 1 : 0;
+            if (a.satisfied()) {
+                long us = Math.max(1, Math.min(a.tookUs(), 59_000_000));
+                s.all.recordValue(us);
+                (a.near ? s.near : s.far).recordValue(us);
+            }
+        }
+    }
+
+    /** Troubles at times from the seed: lines that snap, are cut, go silent or noisy; one router killed and back. */
+    private void trouble(TwoSites world, Load load, SplittableRandom random, double seconds, Side side)
+            throws InterruptedException, IOException {
+        long end = System.nanoTime() + Math.round(1e9 * seconds);
+        long killAt = System.nanoTime() + Math.round(1e9 * seconds * (0.3 + 0.3 * random.nextDouble()));
+        List<TwoSites.Running> routers = List.copyOf(world.routers.values());
+        TwoSites.Running victim = routers.get(random.nextInt(routers.size()));
+        List<EmulatedLine> lines = List.copyOf(world.lines.values());
+        while (System.nanoTime() < end) {
+            Thread.sleep(200 + random.nextInt(800));
+            EmulatedLine line = lines.get(random.nextInt(lines.size()));
+            String what = switch (random.nextInt(6)) {
+                case 0, 1 -> {
+                    line.snap();
+                    yield "snap";
+                }
+                case 2 -> {
+                    line.cut();
+                    yield "cut";
+                }
+                case 3 -> {
+                    line.silent(true, true);
+                    yield "silent";
+                }
+                case 4 -> {
+                    line.silent(random.nextBoolean(), false);
+                    line.silent(false, true);
+                    yield "silent one way";
+                }
+                default -> {
+                    line.noise(0.3);
+                    yield "noise";
+                }
+            };
+            side.troubles.merge(what, 1, Integer::sum);
+            Thread.sleep(100 + random.nextInt(500));
+            line.mend();
+            if (victim != null && System.nanoTime() >= killAt) {
+                long from = world.ground.on(world.ground::now);
+                load.killed(victim);
+                victim.kill();
+                Thread.sleep(500 + random.nextInt(1000));
+                victim.start();
+                load.away(victim, from, world.ground.on(world.ground::now) + 100_000);
+                side.troubles.merge("router killed", 1, Integer::sum);
+                victim = null;
+            }
+        }
+    }
+
+    private String table(List<Side> sides) {
+        StringBuilder t = new StringBuilder(String.format(Locale.ROOT, "%d ms each way, seed %d; emulated data nodes%n"
+                + "%-24s %8s %7s %7s %7s %8s %9s %7s %9s %9s %9s %9s%n", delayMs, seed, "side", "lookups", "whole",
+                "partial", "nacked", "aborted", "once ab.", "killed", "near p50", "near p99", "far p50", "far p99"));
+        for (Side s : sides) {
+            t.append(String.format(Locale.ROOT, "%-24s %8d %7d %7d %7d %8d %9d %7d %9.1f %9.1f %9.1f %9.1f%n", s.name,
+                    s.lookups, s.whole, s.partial, s.nacked, s.aborted, s.onceAborted, s.killed, s.ms(s.near, 50),
+                    s.ms(s.near, 99), s.ms(s.far, 50), s.ms(s.far, 99)));
+            if (!s.troubles.isEmpty()) {
+                t.append("    ").append(s.troubles).append(", ").append(s.recovered).append(" of ").append(s.unsure)
+                        .append(" parts that may run once recovered\n");
+            }
+        }
+        return t.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/lab/Rules.java
@@ -0,0 +1,74 @@
+package tinlink.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import tinlink.emulator.Runs;
+
+/**
+ * Checks of the rules from what the data nodes ran and what the clients were told; the routers' own word counts for
+ * nothing. Each finding names the lookup.
+ */
+final class Rules {
+    /** On sockets the limits are so much longer. */
+    static final long SOCKETS_US = 50_000;
+    final List<String> lost = new ArrayList<>();
+    final List<String> late = new ArrayList<>();
+    final List<String> repeated = new ArrayList<>();
+    final List<String> dishonest = new ArrayList<>();
+
+    void check(List<Load.Asked> all, Runs runs) {
+        for (Load.Asked a : all) {
+            repeats(a, runs);
+            if (a.routerKilled) {
+                continue; // Its client saw its connection break, and knows that it knows nothing.
+            }
+            if (a.answer == null || a.answer.status() == 0) {
+                lost.add(a.ask.id() + (a.answer == null ? "" : " " + a.answer.body()));
+                continue;
+            }
+            if (a.tookUs() > 1000 * a.ask.budgetMs() + SOCKETS_US) {
+                late.add(a.ask.id() + " " + a.tookUs() / 1000 + " ms");
+            }
+            honest(a, runs);
+        }
+    }
+
+    private void repeats(Load.Asked a, Runs runs) {
+        for (int shard : a.ask.shards()) {
+            List<Runs.Run> ran = runs.of(a.ask.id() + "." + shard);
+            for (int i = 1; i < ran.size() && !a.kind.idempotent(); i++) {
+                if (a.kind.onceOnly() || ran.get(i).atUs() > ran.get(0).atUs() + a.kind.windowUs()) {
+                    repeated.add(a.ask.id() + "." + shard + " " + a.kind.name() + " " + ran.stream().map(r -> r.node()
+                            + " after " + (r.atUs() - a.dueUs) / 1000 + " ms").toList());
+                    break;
+                }
+            }
+        }
+    }
+
+    private void honest(Load.Asked a, Runs runs) {
+        if (a.nacked() && !a.kind.idempotent()
+                && a.ask.shards().stream().anyMatch(s -> !runs.of(a.ask.id() + "." + s).isEmpty())) {
+            dishonest.add(a.ask.id() + " nacked, a part ran");
+        }
+        if (!a.satisfied()) {
+            return;
+        }
+        Map<Integer, String> values = a.answer.values();
+        for (Map.Entry<Integer, String> v : values.entrySet()) {
+            if (!a.ask.shards().contains(v.getKey())
+                    || !v.getValue().equals(Runs.value(a.ask.id() + "." + v.getKey(), a.ask.text()))) {
+                dishonest.add(a.ask.id() + " has a value that no data node made for it");
+            }
+        }
+        double share = (double) values.size() / a.ask.shards().size();
+        if (a.answer.whole() && share < 1 - 1e-6 || share < a.kind.floor() - 1e-6) {
+            dishonest.add(a.ask.id() + " has too few parts");
+        }
+    }
+
+    boolean kept() {
+        return lost.isEmpty() && late.isEmpty() && repeated.isEmpty() && dishonest.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/lab/TwoSites.java
@@ -0,0 +1,193 @@
+package tinlink.lab;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import tinlink.emulator.EmulatedClient;
+import tinlink.emulator.EmulatedLine;
+import tinlink.emulator.EmulatedNode;
+import tinlink.emulator.EmulatedSite;
+import tinlink.emulator.Ground;
+import tinlink.emulator.Runs;
+import tinlink.router.Router;
+import tinlink.start.RouterStart;
+
+/** Two whole sites on loopback: data nodes, discovery, routers that are real ones, and the lines between them. */
+public final class TwoSites implements AutoCloseable {
+    /**
+     * @param cells of each site, by its name; @param lines from each router to each of the other site's
+     * @param gateway further keys of each router's gateway file, as JSON5; may be empty
+     * @param firstPort where the first router listens; 0 for any
+     */
+    public record Plan(Map<String, List<Integer>> cells, int allCells, int routers, int lines, EmulatedLine.Way there,
+                       EmulatedLine.Way back, EmulatedNode.Work work, String limits, String profiles, String info,
+                       String gateway, int firstPort, long seed) {
+    }
+
+    /** One router and what belongs to it. */
+    public final class Running {
+        public final String name;
+        public final EmulatedSite site;
+        public final EmulatedClient clients;
+        Map<String, String> env;
+        private final int port;
+        private Router router;
+        private Thread thread;
+
+        private Running(String name, EmulatedSite site, int port) {
+            this.name = name;
+            this.site = site;
+            this.port = port;
+            clients = new EmulatedClient(ground, null);
+        }
+
+        /** Starts it, anew if it had run before; returns once clients can connect. */
+        public void start() throws IOException, InterruptedException {
+            RouterStart from = new RouterStart(env);
+            Router r = new Router(from, from.built.module);
+            thread = new Thread(() -> {
+                try {
+                    r.run();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }, name);
+            thread.setDaemon(true);
+            thread.start();
+            r.awaitListening();
+            router = r;
+            clients.to(r.address());
+            lines.forEach((ends, line) -> {
+                if (ends.contains(">" + name + "#")) {
+                    try {
+                        line.to(r.gatewayAddress());
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                }
+            });
+        }
+
+        /** As a kill of its process: all its connections break. */
+        public void kill() throws InterruptedException {
+            router.end();
+            thread.join();
+        }
+
+        /** In order, as at a SIGTERM; returns when it is over. */
+        public void stop() throws InterruptedException {
+            router.stopAndWait();
+        }
+
+        public void reload() {
+            router.reload();
+        }
+
+        public InetSocketAddress address() throws IOException {
+            return router.address();
+        }
+
+        public InetSocketAddress gatewayAddress() throws IOException {
+            return router.gatewayAddress();
+        }
+
+        public Path gatewayFile() {
+            return Path.of(env.get("NODE_GATEWAY"));
+        }
+
+        /** By name, as they are now. */
+        public long count(String counter) {
+            return router.gatewayCount(counter);
+        }
+    }
+
+    public static final String KEYS = "keys: {k1: '00112233445566778899aabbccddeeff'}, use_key: 'k1'";
+    public final Ground ground = new Ground();
+    public final Runs runs = new Runs(1 << 20);
+    public final Map<String, EmulatedSite> sites = new LinkedHashMap<>();
+    /** By name: the first letter of the site, and a number. */
+    public final Map<String, Running> routers = new LinkedHashMap<>();
+    /** By its ends and number, "e1>w2#0". */
+    public final Map<String, EmulatedLine> lines = new TreeMap<>();
+    private final Path folder;
+
+    public TwoSites(Plan plan) throws IOException, InterruptedException {
+        folder = Files.createTempDirectory("tinlink-sites");
+        long seed = plan.seed();
+        List<String> names = new ArrayList<>(plan.cells().keySet());
+        int port = plan.firstPort();
+        for (String name : names) {
+            EmulatedSite site = new EmulatedSite(ground, runs, new EmulatedSite.Plan(name, plan.cells().get(name),
+                    plan.work(), settings(plan, names, name), seed += 1000));
+            sites.put(name, site);
+            for (int i = 1; i <= plan.routers(); i++) {
+                String r = name.substring(0, 1) + i;
+                routers.put(r, new Running(r, site, port));
+                port += port > 0 ? 1 : 0;
+            }
+        }
+        for (Running near : routers.values()) {
+            List<EmulatedSite.Far> far = new ArrayList<>();
+            for (Running f : routers.values()) {
+                if (f.site != near.site) {
+                    List<InetSocketAddress> at = new ArrayList<>();
+                    for (int i = 0; i < plan.lines(); i++) {
+                        EmulatedLine line = ground.on(() -> line(plan));
+                        lines.put(near.name + ">" + f.name + "#" + i, line);
+                        at.add(line.address());
+                    }
+                    far.add(new EmulatedSite.Far(f.site.name, f.name, at));
+                }
+            }
+            near.env = near.site.router(folder, near.name, "127.0.0.1:" + near.port, "127.0.0.1:0", seed++, KEYS,
+                    plan.gateway(), names.stream().filter(n -> !n.equals(near.site.name)).toList(), far);
+        }
+        for (Running r : routers.values()) {
+            r.start();
+        }
+    }
+
+    private long lineSeed;
+
+    private EmulatedLine line(Plan plan) {
+        try {
+            return new EmulatedLine(ground, plan.there(), plan.back(), plan.seed() + 77 * ++lineSeed);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String settings(Plan plan, List<String> names, String name) {
+        return "{\"family\":\"fanout\",\"discovery\":\"pushed\",\"groupSize\":" + plan.routers() + ",\"zone\":"
+                + names.indexOf(name) + ",\"stepMs\":5,\"localities\":[" + String.join(",",
+                names.stream().map(n -> "\"" + n + "\"").toList()) + "],\"models\":[\"m\"],"
+                + "\"familyInfo\":{\"sets\":" + plan.allCells() + ",\"slabs\":" + plan.allCells() + ",\"reach\":1,"
+                + "\"bundleMax\":4,\"callMs\":1," + plan.info() + "},\"profiles\":[" + plan.profiles()
+                + "],\"limits\":{" + plan.limits() + "},\"rules\":{\"startCapacity\":0.2,\"coldMs\":0,"
+                + "\"fallMultiple\":4,\"fallMs\":3000},\"charges\":{\"crossZone\":0.02}}";
+    }
+
+    /** Waits until each router reaches all cells, its own and the other site's; false if it takes too long. */
+    public boolean joined(long mostMs) throws InterruptedException {
+        for (long i = 0; i < mostMs / 10; i++) {
+            if (routers.values().stream().allMatch(r -> r.router.farCells() > 0)) {
+                return true;
+            }
+            Thread.sleep(10);
+        }
+        return false;
+    }
+
+    @Override
+    public void close() {
+        routers.values().forEach(r -> r.router.end());
+        ground.close();
+    }
+}
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -98,6 +98,16 @@
         return sites.gateway().address();
     }
 
+    /** From another thread: a counter of the links with other sites. */
+    public long gatewayCount(String name) {
+        return sites.count(name);
+    }
+
+    /** From another thread: how many cells are reached at other sites now, each once for each router there. */
+    public int farCells() {
+        return sites.farCells();
+    }
+
     /** From another thread: ends at once, whatever is in hand. */
     public void end() {
         loop.ready(loop::end);
--- a/src/main/java/tinlink/router/SiteLinks.java
+++ b/src/main/java/tinlink/router/SiteLinks.java
@@ -2,9 +2,13 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import tinlink.decision.Aggregator;
@@ -74,6 +78,23 @@
         gateway.keys(keys(g));
     }
 
+    /** From another thread. */
+    long count(String name) {
+        return ask(() -> gateway.counters().of(name));
+    }
+
+    /** From another thread. */
+    int farCells() {
+        return ask(() -> (int) nodes.values().stream().flatMap(Arrays::stream)
+                .filter(n -> n != null && n.state == DataNode.State.READY).count());
+    }
+
+    private <T> T ask(Supplier<T> what) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        loop.ready(() -> answer.complete(what.get()));
+        return answer.completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
+    }
+
     Gateway gateway() {
         return gateway;
     }
