Parts carry what bounds their age: late ones never run, nor past a key's window

Cause: a line can hold a part back and bring it when its time, or its key's window, is over; no clock may cross. Change: a part names the last heartbeat answer and for how long its near router has had it, so the far router knows the part's age to within a round trip.

--- a/src/main/java/tinlink/gateway/FarPart.java
+++ b/src/main/java/tinlink/gateway/FarPart.java
@@ -6,7 +6,7 @@
 /** A part that another site has passed on to this router. Fields only. */
 public final class FarPart extends Taken {
     public final long arrivedAt;
-    /** What its near router leaves us of its time. */
+    /** How long it may run here, and have its effect. */
     public final long leftUs;
     public final String id;
     public final String index;
--- a/src/main/java/tinlink/gateway/FarSession.java
+++ b/src/main/java/tinlink/gateway/FarSession.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -13,6 +14,7 @@
 /** The far side of a line: whoever connects proves who it is, then hands parts over and asks about them. */
 final class FarSession extends Session {
     private static final Logger LOG = Logger.getLogger("tinlink.gateway");
+    private static final int MOST_PONGS = 64;
     private final Gateway gateway;
     private byte[] hello;
     private byte[] challenge;
@@ -22,6 +24,8 @@
     private int line;
     private long incarnation;
     Origin origin;
+    /** When heartbeats were answered, by number; the newest. */
+    private final LinkedHashMap<Long, Long> ponged = new LinkedHashMap<>();
 
     FarSession(Gateway gateway) {
         super(gateway.loop, gateway.times.handshakeUs());
@@ -43,6 +47,10 @@
                     long number = in.getLong();
                     gateway.taker.lowest(origin, in.getLong());
                     send(Wire.PONG, new Wire.Out().eight(number).made());
+                    ponged.put(number, gateway.loop.now());
+                    if (ponged.size() > MOST_PONGS) {
+                        ponged.remove(ponged.keySet().iterator().next());
+                    }
                     gateway.heard(this);
                 }
                 default -> throw Wire.bad("a message of type " + type);
@@ -95,17 +103,26 @@
     private void part(ByteBuffer in) throws BadMessage {
         long number = in.getLong();
         long leftUs = in.getLong();
+        long effectUs = in.getLong();
+        Long pongedAt = ponged.get(in.getLong());
+        long heldUs = in.getLong();
         int shard = in.getInt();
         int flags = in.get();
         String index = Wire.text(in);
         String id = Wire.text(in);
         String key = (flags & 2) == 0 ? null : Wire.text(in);
-        if (number < 1 || leftUs < 0) {
+        if (number < 1 || heldUs < 0) {
             throw Wire.bad("a part out of range");
         }
         gateway.counters.add("far_parts");
-        gateway.taker.part(origin, new FarPart(origin, number, gateway.loop.now(), leftUs, id, index, shard, key,
-                Wire.bytes(in, in.remaining()), (flags & 1) != 0));
+        // Danger: a line that holds a part back for long and then brings it. Its age is no more than the time since
+        // the answer to a heartbeat left here, less the time for which its near router has had that answer: a round
+        // trip, which is also what its own answer needs. An old answer can't be told apart and counts as too old.
+        long now = gateway.loop.now();
+        long ageUs = pongedAt == null ? Long.MAX_VALUE / 2 : Math.max(0, now - pongedAt - heldUs);
+        long mayUs = Math.min(leftUs, effectUs) - ageUs;
+        gateway.taker.part(origin, new FarPart(origin, number, now, mayUs, id, index, shard, key,
+                Wire.bytes(in, in.remaining()), (flags & 1) != 0), mayUs > 0);
     }
 
     private void asked(ByteBuffer in) throws BadMessage {
--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -220,13 +220,17 @@
     @Override
     public void send(Forwarded part) {
         NearPart p = (NearPart) part;
-        Wire.Out o = new Wire.Out().eight(p.number()).eight(p.lane().router.leftFor(p, p.lane())).four(p.shard)
+        long now = loop.now();
+        Lane l = p.lane();
+        Wire.Out o = new Wire.Out().eight(p.number()).eight(p.until - now - l.spareUs())
+                .eight(p.effectUntil == Long.MAX_VALUE ? Long.MAX_VALUE : p.effectUntil - now)
+                .eight(l.lastPong()).eight(l.sincePongUs(now)).four(p.shard)
                 .byt((p.repeat ? 1 : 0) | (p.key == null ? 0 : 2)).text(p.index).text(p.id);
         if (p.key != null) {
             o.text(p.key);
         }
         counters.add("near_parts");
-        p.place = near.get(p.lane()).send(Wire.PART, o.bytes(p.text).made());
+        p.place = near.get(l).send(Wire.PART, o.bytes(p.text).made());
     }
 
     @Override
--- a/src/main/java/tinlink/gateway/NearPart.java
+++ b/src/main/java/tinlink/gateway/NearPart.java
@@ -11,6 +11,8 @@
     final String key;
     final byte[] text;
     final boolean repeat;
+    /** Until when it may have its effect at all; Long.MAX_VALUE where that does not matter. */
+    final long effectUntil;
     /** Whatever the part is to whoever passed it on. */
     public final Object what;
     final long sentAt;
@@ -21,9 +23,12 @@
     public long tookUs;
     public long comeBackUs;
 
-    /** @param cell where the near router's module wants it; @param repeatable a second run does no harm */
+    /**
+     * @param cell where the near router's module wants it; @param repeatable a second run does no harm
+     * @param effectUntil the end of its key's window; Long.MAX_VALUE where it has none
+     */
     public NearPart(Object what, long now, long until, int cell, boolean repeatable, String id, String index,
-                    int shard, String key, byte[] text, boolean repeat) {
+                    int shard, String key, byte[] text, boolean repeat, long effectUntil) {
         super(until, cell, repeatable);
         this.what = what;
         sentAt = now;
@@ -33,5 +38,6 @@
         this.key = key;
         this.text = text;
         this.repeat = repeat;
+        this.effectUntil = effectUntil;
     }
 }
--- a/src/main/java/tinlink/gateway/choice/FarRouter.java
+++ b/src/main/java/tinlink/gateway/choice/FarRouter.java
@@ -127,6 +127,7 @@
         l.pulse.opened(now, roundTripUs);
         l.pingAt = now;
         l.pings.clear();
+        l.pongNumber = 0;
         // Asked even where nothing is open: it fences off what may still be under way, and gives up the rest.
         l.asks = true;
     }
@@ -170,6 +171,8 @@
         if (l.state == Lane.State.UP && sentAt != null) {
             l.roundTrip.sample(now - sentAt);
             l.pulse.answered(now);
+            l.pongNumber = number;
+            l.pongedAt = now;
         }
     }
 
--- a/src/main/java/tinlink/gateway/choice/Lane.java
+++ b/src/main/java/tinlink/gateway/choice/Lane.java
@@ -36,6 +36,24 @@
         pulse = new Pulse(beatUs);
     }
 
+    /** The last heartbeat that was answered, and when; 0 where none has been since the line came up. */
+    long pongNumber;
+    long pongedAt;
+
+    public long lastPong() {
+        return pongNumber;
+    }
+
+    /** How long ago it was answered. Danger: a part's age over there is told from this; a clock can't cross. */
+    public long sincePongUs(long now) {
+        return now - pongedAt;
+    }
+
+    /** What the far router keeps of a part's time, beside the round trip that it measures itself. */
+    public long spareUs() {
+        return roundTrip.spareUs();
+    }
+
     /** The lowest number that is still of interest; what lies under it may be forgotten over there. */
     public long lowest() {
         return parts.isEmpty() ? nextNumber : parts.firstKey();
--- a/src/main/java/tinlink/gateway/choice/RoundTrip.java
+++ b/src/main/java/tinlink/gateway/choice/RoundTrip.java
@@ -23,6 +23,11 @@
         return (long) smoothedUs;
     }
 
+    /** What has to be kept of a part's time beside a round trip that is measured anew for each. */
+    long spareUs() {
+        return (long) (4 * spreadUs);
+    }
+
     /** What has to be kept of a part's time for the line, whichever way is the slower one. */
     long keptUs() {
         return (long) (smoothedUs + 4 * spreadUs);
--- a/src/main/java/tinlink/gateway/choice/Taker.java
+++ b/src/main/java/tinlink/gateway/choice/Taker.java
@@ -144,10 +144,12 @@
     }
 
     /**
-     * A part has arrived; {@code made} makes the entry, if it is to be remembered. Danger: the same frame twice
-     * or late, on this connection or another: what has been seen, or lies under the fence, never runs.
+     * A part has arrived. Danger: the same frame twice or late, on this connection or another: what has been seen,
+     * or lies under the fence, never runs.
+     *
+     * @param inTime it may have its effect now; one that was long on the way may not
      */
-    public void part(Origin o, Taken p) {
+    public void part(Origin o, Taken p, boolean inTime) {
         Taken known = o.parts.get(p.number);
         if (known != null || p.number <= o.lastBegun || p.number < o.fence) {
             say(o, p.number, known);
@@ -155,7 +157,7 @@
         }
         o.lastBegun = p.number;
         o.parts.put(p.number, p);
-        if (leaving || running >= bounds.running() || o.running >= windowOf(o)) {
+        if (leaving || !inTime || running >= bounds.running() || o.running >= windowOf(o)) {
             refused |= running >= bounds.running();
             finish(p, leaving ? Fate.NEVER_BEGUN : Fate.REFUSED, 0);
             return;
--- a/src/main/java/tinlink/router/SiteLinks.java
+++ b/src/main/java/tinlink/router/SiteLinks.java
@@ -127,11 +127,24 @@
         Query q = s.segment().query();
         NearPart p = new NearPart(s, loop.now(), s.until, s.call.node.cell,
                 q.index.effect == Index.Effect.IDEMPOTENT, s.segment().id, names.get(q.index), s.segment().shard,
-                q.key, q.text, q.repeat);
+                q.key, q.text, q.repeat, effectUntil(s));
         s.giveUp = () -> gateway.giveUp(to, p);
         gateway.send(to, p);
     }
 
+    /**
+     * Danger: a fingerprinted part that a line holds back until its key's window has passed has its effect again.
+     * The window is that of the first call that may have run, this one too: what comes later must not be first.
+     */
+    private static long effectUntil(Sent s) {
+        Index x = s.segment().lookup.index;
+        if (x.effect != Index.Effect.FINGERPRINTED) {
+            return Long.MAX_VALUE;
+        }
+        return x.windowUs + s.segment().calls.stream().filter(c -> c.outcome == null || !c.outcome.neverRan)
+                .mapToLong(c -> c.sentAt).min().orElse(s.call.sentAt);
+    }
+
     @Override
     public void ended(NearPart p, Outcome how, long tookUs) {
         Sent s = (Sent) p.what;
