--- a/src/main/java/tinlink/gateway/FarSession.java
+++ b/src/main/java/tinlink/gateway/FarSession.java
@@ -83,7 +83,7 @@
         if (type != Wire.PROOF) {
             throw Wire.bad("no proof");
         }
-        byte[] next = Wire.bytes(in, Long.BYTES);
+        byte[] next = Wire.bytes(in, 2 * Long.BYTES);
         byte[] proof = Wire.bytes(in, Wire.PROOF_BYTES);
         if (!gateway.keys.has(keyId)
                 || !Keys.same(proof, gateway.keys.proof(keyId, "near proof", hello, challenge, next))) {
@@ -91,7 +91,8 @@
             throw Wire.bad("a wrong proof");
         }
         sealed(gateway.keys.proof(keyId, "session", hello, challenge), false);
-        origin = gateway.taker.opened(site + "/" + router, line, incarnation, ByteBuffer.wrap(next).getLong(), this);
+        ByteBuffer counts = ByteBuffer.wrap(next);
+        origin = gateway.taker.opened(site + "/" + router, line, incarnation, counts.getLong(), counts.getLong(), this);
         if (origin == null) {
             throw Wire.bad("too many routers are connected");
         }
@@ -127,6 +128,7 @@
 
     private void asked(ByteBuffer in) throws BadMessage {
         int about = in.getShort();
+        long ups = in.getLong();
         long fence = in.getLong();
         int count = in.getShort() & 0xffff;
         if (count > Wire.MOST_FATES || in.remaining() != count * Long.BYTES) {
@@ -136,7 +138,7 @@
         for (int i = 0; i < count; i++) {
             numbers.add(in.getLong());
         }
-        gateway.taker.asked(origin, this, about, fence, numbers);
+        gateway.taker.asked(origin, this, about, ups, fence, numbers);
     }
 
     void say(int about, long number, Fate fate, FarPart p) {
--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -244,7 +244,7 @@
     @Override
     public void askFates(Lane on, Lane about) {
         Set<Long> numbers = about.open().keySet();
-        Wire.Out o = new Wire.Out().two(about.index).eight(about.next()).two(numbers.size());
+        Wire.Out o = new Wire.Out().two(about.index).eight(about.ups()).eight(about.next()).two(numbers.size());
         numbers.forEach(o::eight);
         counters.add("near_fates_asked");
         near.get(on).send(Wire.FATES, o.made());
--- a/src/main/java/tinlink/gateway/NearSession.java
+++ b/src/main/java/tinlink/gateway/NearSession.java
@@ -75,7 +75,7 @@
             gateway.counters.add("near_wrong_proof");
             throw Wire.bad("a wrong proof");
         }
-        byte[] next = new Wire.Out().eight(lane.next()).made();
+        byte[] next = new Wire.Out().eight(lane.ups() + 1).eight(lane.next()).made();
         send(Wire.PROOF, new Wire.Out().bytes(next)
                 .bytes(gateway.keys.proof(keyId, "near proof", hello, challenge, next)).made());
         sealed(gateway.keys.proof(keyId, "session", hello, challenge), true);
--- a/src/main/java/tinlink/gateway/choice/FarRouter.java
+++ b/src/main/java/tinlink/gateway/choice/FarRouter.java
@@ -119,6 +119,7 @@
                 each.stale = each != l;
             }
         }
+        l.ups++;
         l.stale = false;
         l.voice = l;
         l.state = Lane.State.UP;
@@ -295,7 +296,7 @@
             return about;
         }
         Lane best = trusted();
-        return best != null || !leaving ? best
+        return best != null ? best
                 : lanes.stream().filter(l -> l.state == Lane.State.UP).findFirst().orElse(null);
     }
 
--- a/src/main/java/tinlink/gateway/choice/Lane.java
+++ b/src/main/java/tinlink/gateway/choice/Lane.java
@@ -27,6 +27,8 @@
     /** What this line has carried that the far router still may speak of; each leaves as it ends. */
     final TreeMap<Long, Forwarded> parts = new TreeMap<>();
     long nextNumber = 1;
+    /** How often it has come up. */
+    long ups;
     /** What was out when it was cut has to be asked about. */
     boolean asks;
 
@@ -64,6 +66,10 @@
         return nextNumber;
     }
 
+    public long ups() {
+        return ups;
+    }
+
     /** What is open, by number. */
     public Map<Long, Forwarded> open() {
         return parts;
--- a/src/main/java/tinlink/gateway/choice/Origin.java
+++ b/src/main/java/tinlink/gateway/choice/Origin.java
@@ -14,6 +14,8 @@
     /** Where answers go: the session that asked last, on this line or another. */
     Object voice;
     long leftAt;
+    /** How often its line has come up, as its near router counts. */
+    long ups;
     /** Nothing under it begins any more. */
     long fence;
     /** Of what lies under it and is not in the table, nobody knows whether it ran. */
--- a/src/main/java/tinlink/gateway/choice/Taker.java
+++ b/src/main/java/tinlink/gateway/choice/Taker.java
@@ -78,10 +78,11 @@
      * A near router has proved who it is. Danger: its connection before may still bring parts that it has been
      * told, or will be told, were never begun.
      *
+     * @param ups how often the line has come up, this time included
      * @param next it has sent no part of that number or a higher one on this line yet
      * @return null where the table is full of routers that are connected
      */
-    public Origin opened(String who, int line, long incarnation, long next, Object session) {
+    public Origin opened(String who, int line, long incarnation, long ups, long next, Object session) {
         for (Origin o : List.copyOf(origins.values())) {
             if (o.who.equals(who) && o.incarnation != incarnation) {
                 drop(o); // It has started anew: nobody waits for these any more.
@@ -102,6 +103,7 @@
             ready.add(() -> hands.close(before));
         }
         o.session = session;
+        o.ups = ups;
         o.voice = session;
         o.fence = Math.max(o.fence, next);
         return o;
@@ -236,10 +238,13 @@
 
     /**
      * Asked on a session about a line of the same router: all that it still has use for. The rest is given up.
+     * Danger: a question that comes late over a slow line, after the line that it is about is up again: it knows
+     * nothing of what has been sent there since.
      *
      * @param asker the origin of the session
+     * @param ups how often that line had come up when this was asked
      */
-    public void asked(Origin asker, Object session, int line, long fence, Set<Long> numbers) {
+    public void asked(Origin asker, Object session, int line, long ups, long fence, Set<Long> numbers) {
         Origin o = origins.get(Origin.key(asker.who, line, asker.incarnation));
         if (o == null) {
             for (long number : numbers) {
@@ -247,6 +252,9 @@
             }
             return;
         }
+        if (ups < o.ups) {
+            return; // Asked again since, on that line itself.
+        }
         if (o != asker && o.session != null) {
             // Danger: a half-open connection of that line could still bring what is now said to be never begun.
             Object before = o.session;
@@ -255,7 +263,7 @@
         o.voice = session;
         o.fence = Math.max(o.fence, fence);
         for (Taken p : List.copyOf(o.parts.values())) {
-            if (!numbers.contains(p.number)) {
+            if (p.number < fence && !numbers.contains(p.number)) {
                 forget(p);
             }
         }
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import tinlink.benchlink.BenchLink;
+import tinlink.gateway.choice.ChoicePlayer;
 import tinlink.net.Ending;
 import tinlink.net.ParserPlayer;
 import tinlink.start.BadInput;
@@ -48,6 +49,10 @@
         return sections(".net");
     }
 
+    static List<Arguments> links() throws IOException {
+        return Stream.concat(sections(".far").stream(), sections(".taker").stream()).toList();
+    }
+
     static List<Arguments> config() throws IOException {
         return sections(".cfg");
     }
@@ -81,6 +86,13 @@
         new Player().play(script);
     }
 
+    /** The gateway's choices, of the near side and of the far one. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    void links(String title, List<String> script) {
+        new ChoicePlayer().play(script);
+    }
+
     @ParameterizedTest(name = "{0}")
     @MethodSource
     void parsers(String title, List<String> script) {
