--- a/src/main/java/tinlink/emulator/Runs.java
+++ b/src/main/java/tinlink/emulator/Runs.java
@@ -21,7 +21,7 @@
         this.most = most;
     }
 
-    void ran(Run r) {
+    public void ran(Run r) {
         byPart.computeIfAbsent(r.part, p -> new ArrayList<>(1)).add(r);
         inOrder.add(r);
         if (inOrder.size() > most) {
--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -35,7 +35,7 @@
 public final class Gateway implements FarRouter.Hands, Taker.Hands, Network.Door {
     static final int MOST_LINES = 16;
     private static final Logger LOG = Logger.getLogger("tinlink.gateway");
-    /** Connections that have not proved themselves. */
+    /** Connections that may be here without having proved themselves. */
     private static final int MOST_STRANGERS = 16;
     /** A near router that has said nothing for so many heartbeats is gone. */
     private static final int SILENT_BEATS = 12;
@@ -306,6 +306,11 @@
         loop.at(loop.now() + times.beatUs(), () -> listening.accept(this));
     }
 
+    /** Connections that have not proved themselves. */
+    int strangers() {
+        return strangers.size();
+    }
+
     /** It has proved itself. */
     void opened(FarSession s) {
         strangers.remove(s);
--- a/src/main/java/tinlink/lab/GatewayLab.java
+++ b/src/main/java/tinlink/lab/GatewayLab.java
@@ -174,7 +174,7 @@
     private static void sum(Side s, List<Load.Asked> all) {
         for (Load.Asked a : all) {
             s.lookups++;
-            if (a.routerKilled || a.answer == null) {
+            if (a.gone || a.answer == null) {
                 s.killed++;
                 continue;
             }
--- a/src/main/java/tinlink/lab/Load.java
+++ b/src/main/java/tinlink/lab/Load.java
@@ -31,8 +31,8 @@
         final boolean near;
         long dueUs;
         Answer answer;
-        /** Its own router was killed while it was open: its client's connection broke. */
-        boolean routerKilled;
+        /** Its router was killed while it was open, or its client left: it is owed nothing more. */
+        boolean gone;
 
         Asked(Ask ask, Kind kind, TwoSites.Running at, boolean near) {
             this.ask = ask;
@@ -119,13 +119,13 @@
 
     /** Before a router is killed: those open there have lost their router, whatever it does. */
     void killed(TwoSites.Running r) {
-        world.ground.run(() -> open.getOrDefault(r, List.of()).forEach(a -> a.routerKilled = true));
+        world.ground.run(() -> open.getOrDefault(r, List.of()).forEach(a -> a.gone = true));
     }
 
     /** Lookups that came while their router was away find nobody; they count as those of a killed one. */
     void away(TwoSites.Running r, long fromUs, long toUs) {
         world.ground.run(() -> all.stream().filter(a -> a.at == r && a.dueUs >= fromUs && a.dueUs <= toUs)
-                .forEach(a -> a.routerKilled = true));
+                .forEach(a -> a.gone = true));
     }
 
     /** Waits until all have come to an end, or can't any more. */
--- a/src/main/java/tinlink/lab/Rules.java
+++ b/src/main/java/tinlink/lab/Rules.java
@@ -20,7 +20,7 @@
     void check(List<Load.Asked> all, Runs runs) {
         for (Load.Asked a : all) {
             repeats(a, runs);
-            if (a.routerKilled) {
+            if (a.gone) {
                 continue; // Its client saw its connection break, and knows that it knows nothing.
             }
             if (a.answer == null || a.answer.status() == 0) {
--- a/src/main/java/tinlink/lab/TwoSites.java
+++ b/src/main/java/tinlink/lab/TwoSites.java
@@ -90,6 +90,11 @@
             router.reload();
         }
 
+        /** Whether it reaches cells of another site. */
+        public boolean joined() {
+            return router.farCells() > 0;
+        }
+
         public InetSocketAddress address() throws IOException {
             return router.address();
         }
@@ -177,7 +182,7 @@
     /** Waits until each router reaches all cells, its own and the other site's; false if it takes too long. */
     public boolean joined(long mostMs) throws InterruptedException {
         for (long i = 0; i < mostMs / 10; i++) {
-            if (routers.values().stream().allMatch(r -> r.router.farCells() > 0)) {
+            if (routers.values().stream().allMatch(Running::joined)) {
                 return true;
             }
             Thread.sleep(10);
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.junit.jupiter.api.Named.named;
-import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -13,7 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
@@ -34,50 +31,33 @@
 
 /** Plays every scenario: the module's through {@link Player}, the wire's through the adapter. */
 class ScenarioTest {
-    private static final Path DIR = Path.of("src/test/resources/scenarios");
 
-    /** A file may hold several scenarios, each under a line of "== name". */
     static List<Arguments> module() throws IOException {
-        return sections(".scn");
+        return Scenarios.sections(".scn");
     }
 
     static List<Arguments> parsers() throws IOException {
-        return sections(".msg");
+        return Scenarios.sections(".msg");
     }
 
     static List<Arguments> router() throws IOException {
-        return sections(".net");
+        return Scenarios.sections(".net");
+    }
+
+    static List<Arguments> gatewayConfig() throws IOException {
+        return Scenarios.sections(".gcfg");
     }
 
     static List<Arguments> links() throws IOException {
-        return Stream.concat(sections(".far").stream(), sections(".taker").stream()).toList();
+        return Stream.concat(Scenarios.sections(".far").stream(), Scenarios.sections(".taker").stream()).toList();
     }
 
     static List<Arguments> config() throws IOException {
-        return sections(".cfg");
-    }
-
-    private static List<Arguments> sections(String ending) throws IOException {
-        List<Arguments> all = new ArrayList<>();
-        for (String file : files(ending)) {
-            for (String one : Files.readString(DIR.resolve(file)).split("(?m)^== ")) {
-                if (!one.isBlank()) {
-                    String title = one.lines().findFirst().orElse("");
-                    all.add(arguments(named(file + ": " + title, title), one.lines().skip(1).toList()));
-                }
-            }
-        }
-        return all;
+        return Scenarios.sections(".cfg");
     }
 
     static List<String> wire() throws IOException {
-        return files(".wire");
-    }
-
-    private static List<String> files(String ending) throws IOException {
-        try (Stream<Path> all = Files.list(DIR)) {
-            return all.map(p -> p.getFileName().toString()).filter(n -> n.endsWith(ending)).sorted().toList();
-        }
+        return Scenarios.files(".wire");
     }
 
     @ParameterizedTest(name = "{0}")
@@ -119,6 +99,20 @@
         assertEquals(pick(script, "! "), e.getMessage() + "\n");
     }
 
+    /** What a router says of a gateway file that it can't use. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    void gatewayConfig(String title, List<String> script, @TempDir Path dir) throws IOException {
+        Path file = Files.writeString(dir.resolve("g"), pick(script, "> "));
+        Map<String, String> env = Map.of("NODE_CONFIG", "deploy/example.json", "NODE_GATEWAY", file.toString());
+        if (pick(script, "! ").isEmpty()) {
+            assertEquals(1, new RouterStart(env).gateway.far.size());
+            return;
+        }
+        BadInput e = assertThrows(BadInput.class, () -> new RouterStart(env));
+        assertEquals(pick(script, "! "), e.getMessage().replace(file.toString(), "FILE") + "\n");
+    }
+
     /** Danger: a part call whose frame has left and that passes for one that never ran. */
     @ParameterizedTest
     @EnumSource(Ending.class)
@@ -134,7 +128,7 @@
     @ParameterizedTest
     @MethodSource
     void wire(String file) throws IOException {
-        List<String> lines = Files.readAllLines(DIR.resolve(file));
+        List<String> lines = Files.readAllLines(Scenarios.DIR.resolve(file));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
         byte[] in = pick(lines, "> ").getBytes(StandardCharsets.UTF_8);
