--- a/src/main/java/tinlink/gateway/choice/FarRouter.java
+++ b/src/main/java/tinlink/gateway/choice/FarRouter.java
@@ -81,6 +81,8 @@
     private long toldLineUs;
     private long now;
     private long armed = Long.MAX_VALUE;
+    /** No part's time is over before; early by some, since parts leave in between. */
+    private long dueAt = Long.MAX_VALUE;
 
     public FarRouter(String name, int lanes, Patience patience, Elsewhere elsewhere, SplittableRandom random) {
         this.name = name;
@@ -162,6 +164,7 @@
             } else {
                 p.unsureSince = p.state == Forwarded.State.UNSURE ? p.unsureSince : now;
                 p.state = Forwarded.State.UNSURE;
+                due(p.unsureSince + patience.recoverUs());
                 l.asks = true;
             }
         }
@@ -205,6 +208,7 @@
         } else {
             p.waitsUntil = Math.min(p.until, now + patience.beatUs());
             waiting.add(p);
+            due(p.waitsUntil);
         }
     }
 
@@ -361,11 +365,17 @@
 
     /** What is out of time; true where something was. */
     private boolean times() {
+        if (now < dueAt) {
+            return false;
+        }
         boolean any = false;
+        dueAt = Long.MAX_VALUE;
         for (Forwarded p : List.copyOf(waiting)) {
             if (now >= p.waitsUntil || !mayServe(p.cell)) {
                 end(p, now >= p.until || !mayServe(p.cell) ? Fate.NEVER_LEFT : Fate.REFUSED);
                 any = true;
+            } else {
+                due(p.waitsUntil);
             }
         }
         for (Lane l : lanes) {
@@ -376,12 +386,19 @@
                 } else if (p.state == Forwarded.State.UNSURE && now >= p.unsureSince + patience.recoverUs()) {
                     end(p, Fate.MAY_HAVE_RUN);
                     any = true;
+                } else {
+                    due(p.until);
+                    due(p.state == Forwarded.State.UNSURE ? p.unsureSince + patience.recoverUs() : p.until);
                 }
             }
         }
         return any;
     }
 
+    private void due(long at) {
+        dueAt = Math.min(dueAt, at);
+    }
+
     private boolean sends(Hands h) {
         if (waiting.isEmpty() || out >= window) {
             return false;
@@ -398,6 +415,7 @@
         p.lane = l;
         p.number = l.nextNumber++;
         p.state = Forwarded.State.OUT;
+        due(p.until);
         l.parts.put(p.number, p);
         out++;
         h.send(p);
@@ -419,15 +437,13 @@
         }
         toldCells = (BitSet) may.clone();
         toldLineUs = lineUs;
+        dueAt = 0; // What waits may have nowhere to go now.
         h.serves(this, toldCells, lineUs);
         return true;
     }
 
     private long next() {
-        long next = Long.MAX_VALUE;
-        for (Forwarded p : waiting) {
-            next = Math.min(next, p.waitsUntil);
-        }
+        long next = dueAt;
         for (Lane l : lanes) {
             if (l.state == Lane.State.DOWN) {
                 next = Math.min(next, l.connectAt);
@@ -435,10 +451,6 @@
                 next = Math.min(next, Math.min(l.pingAt, l.pulse.deadAt()));
                 next = l.pulse.trusted(now) ? Math.min(next, l.pulse.doubtAt()) : next;
             }
-            for (Forwarded p : l.parts.values()) {
-                next = Math.min(next, p.state == Forwarded.State.UNSURE
-                        ? Math.min(p.until, p.unsureSince + patience.recoverUs()) : p.until);
-            }
         }
         return next;
     }
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -88,6 +88,7 @@
                 lk.index = indexes.get(w[2]);
                 lk.leavesAt = now + ms(w[4]);
                 lk.repeat = w[w.length - 1].equals("repeat");
+                lk.forwarded = w[w.length - 1].equals("forwarded");
                 lookups.put(w[1], lk);
                 names.put(lk, w[1]);
                 lk.announced = shards(w).size();
@@ -188,6 +189,7 @@
         long startedAt = n.startedAt;
         after(w, "cell").forEach(c -> n.cell = Integer.parseInt(c));
         after(w, "zone").forEach(z -> n.zone = Integer.parseInt(z));
+        after(w, "line").forEach(t -> n.lineUs = ms(t));
         after(w, "started").forEach(t -> n.startedAt = ms(t));
         String last = w[w.length - 1];
         n.state = last.equals("draining") ? DataNode.State.DRAINING
