--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,14 @@
 # Java 17 and Maven are needed; CONFIG is the file that a router is started with.
-CONFIG ?= deploy/example.json
+CONFIG ?=
+SEED ?= 1
+DELAY_MS ?= 200
+SECONDS ?= 20
 # The same bounds as in deploy/balancer.toml, read from there so that they stand in one place.
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 SOURCES = $(shell git ls-files "*.java" .ci Makefile)
 
-.PHONY: build test lint run clean
+.PHONY: build test lint run clean lab-gateway
 
 build:
 	$(BUILD)
@@ -18,8 +21,12 @@
 	mvn -q -B -Plint -DskipTests clean package
 	@awk 'length > 110 { print FILENAME ":" FNR ": over 110 characters"; bad = 1 } END { exit bad }' $(SOURCES)
 
+# Without CONFIG: two whole sites on loopback, with emulated data nodes.
 run: build
-	NODE_CONFIG=$(CONFIG) $(RUN)
+	$(if $(CONFIG),NODE_CONFIG=$(CONFIG) $(RUN),java -jar target/tinlink.jar emulate deploy/emulate.json5)
+
+lab-gateway: build
+	java -jar target/tinlink.jar lab gateway --seed $(SEED) --delay-ms $(DELAY_MS) --seconds $(SECONDS)
 
 clean:
 	mvn -q clean
--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -23,7 +23,8 @@
     }
 
     public static void main(String[] args) {
-        // Danger: the platform's starts are on part of a core; what is loaded for arguments costs them nothing.
+        // Danger: the platform's starts are on part of a core; what is loaded for arguments costs them
+        // nothing.
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "benchlink" -> System.exit(new BenchLink(System.in, System.out, System.err).run());
--- a/src/main/java/tinlink/cli/Commands.java
+++ b/src/main/java/tinlink/cli/Commands.java
@@ -12,8 +12,11 @@
 import tinlink.lab.GatewayLab;
 import tinlink.start.BadInput;
 
-/** The command line. What the platform calls without arguments does not come here, and loads nothing of this. */
-@Command(name = "tinlink", mixinStandardHelpOptions = true, description = "A query router and gateway between sites.",
+/**
+ * The command line. What the platform calls without arguments does not come here, and loads nothing of this.
+ */
+@Command(name = "tinlink", mixinStandardHelpOptions = true,
+        description = "A query router and gateway between sites.",
         synopsisSubcommandLabel = "COMMAND", subcommands = Commands.Lab.class)
 public final class Commands implements Runnable {
     /** Runs a router with this environment, until it is told to stop; its exit status. */
@@ -45,9 +48,11 @@
         CommandLine.usage(this, System.err);
     }
 
-    @Command(name = "serve", description = "Run one query router, told by NODE_CONFIG and the other variables.")
+    @Command(name = "serve",
+            description = "Run one query router, told by NODE_CONFIG and the other variables.")
     int serve(@Option(names = "--config", paramLabel = "FILE", description = "as NODE_CONFIG") String config,
-              @Option(names = "--gateway", paramLabel = "FILE", description = "links with other sites, as NODE_GATEWAY")
+              @Option(names = "--gateway", paramLabel = "FILE",
+              description = "links with other sites, as NODE_GATEWAY")
               String gateway) {
         Map<String, String> env = new HashMap<>(System.getenv());
         if (config != null) {
@@ -59,13 +64,16 @@
         return serves.serve(env);
     }
 
-    @Command(name = "emulate", description = "Start two whole sites on loopback, as a file says, until interrupted.")
-    int emulate(@Parameters(paramLabel = "FILE", description = "for example deploy/emulate.json5") String file)
+    @Command(name = "emulate",
+            description = "Start two whole sites on loopback, as a file says, until interrupted.")
+    int emulate(@Parameters(paramLabel = "FILE",
+    description = "for example deploy/emulate.json5") String file)
             throws Exception {
         return Emulation.run(file);
     }
 
-    @Command(name = "lab", description = "Experiments on emulated servers; each ends with one line of figures.",
+    @Command(name = "lab",
+            description = "Experiments on emulated servers; each ends with one line of figures.",
             subcommands = Gateway.class)
     static final class Lab implements Runnable {
         @Override
@@ -77,13 +85,15 @@
     /** The experiment of the gateway. */
     @Command(name = "gateway", description = "Two sites, lines that are cut, a far router that is killed.")
     static final class Gateway implements Callable<Integer> {
-        @Option(names = "--seed", defaultValue = "1", description = "of all chance (default: ${DEFAULT-VALUE})")
+        @Option(names = "--seed", defaultValue = "1",
+                description = "of all chance (default: ${DEFAULT-VALUE})")
         private long seed;
         @Option(names = "--delay-ms", defaultValue = "200", description = "of the line, each way")
         private long delayMs;
         @Option(names = "--seconds", defaultValue = "20", description = "of the side with trouble")
         private double seconds;
-        @Option(names = "--out", defaultValue = "target/lab/gateway", description = "folder for table and chart")
+        @Option(names = "--out", defaultValue = "target/lab/gateway",
+                description = "folder for table and chart")
         private Path out;
 
         @Override
--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -603,7 +603,9 @@
                     && admission.room(s, health.latency(s, p.lookup.roundUs, now), luck, p.lookup.roundUs));
         }
 
-        /** Drains: once told that a node drains or is gone, nothing new goes there; nor over too long a line. */
+        /**
+         * Drains: once told that a node drains or is gone, nothing new goes there; nor over too long a line.
+         */
         private List<Seen> holders(Part p, long now) {
             List<Seen> ready = new ArrayList<>();
             for (int j = 0; j < Math.min(reach, cells); j++) {
@@ -930,7 +932,9 @@
             resends = RESENDS * cap / 2;
         }
 
-        /** Danger: what another site passes on is counted there; counted twice it would be over the budget. */
+        /**
+         * Danger: what another site passes on is counted there; counted twice it would be over the budget.
+         */
         void took(Lookup lk, long now, boolean part) {
             replays = Math.min(cap, replays + (part && !lk.forwarded ? REPLAYS : 0));
             resends = Math.min(cap, resends + (part && !lk.forwarded ? RESENDS : 0));
--- a/src/main/java/tinlink/emulator/EmulatedClient.java
+++ b/src/main/java/tinlink/emulator/EmulatedClient.java
@@ -16,7 +16,10 @@
 import tinlink.net.Link;
 import tinlink.net.Ring;
 
-/** Clients of one router over HTTP/1.1: keep connections, one request at a time on each, open more when all are busy. */
+/**
+ * Clients of one router over HTTP/1.1: keep connections, one request at a time on each, open more when all
+ * are busy.
+ */
 public final class EmulatedClient {
     /** @param key null where the index needs none */
     public record Ask(String id, String index, long budgetMs, List<Integer> shards, String text, String key) {
@@ -118,7 +121,8 @@
             }
             byte[] b = ("{\"segments\":[" + parts + "],\"text\":\"" + a.text() + "\"}")
                     .getBytes(StandardCharsets.UTF_8);
-            link.out().put("POST /api HTTP/1.1\r\nHost: tinlink\r\nX-Call-Id: " + a.id() + "\r\nX-Call-Class: "
+            link.out().put("POST /api HTTP/1.1\r\nHost: tinlink\r\nX-Call-Id: " + a.id()
+                    + "\r\nX-Call-Class: "
                     + a.index() + "\r\nX-Budget-Ms: " + a.budgetMs() + "\r\n"
                     + (a.key() == null ? "" : "Idempotency-Key: " + a.key() + "\r\n")
                     + "Content-Length: " + b.length + "\r\n\r\n").put(b);
--- a/src/main/java/tinlink/emulator/EmulatedDiscovery.java
+++ b/src/main/java/tinlink/emulator/EmulatedDiscovery.java
@@ -16,7 +16,10 @@
 import tinlink.net.Protocol;
 import tinlink.net.Ring;
 
-/** Discovery of one site: tells each watch the whole list, then what changes, and an empty line while nothing does. */
+/**
+ * Discovery of one site: tells each watch the whole list, then what changes, and an empty line while nothing
+ * does.
+ */
 public final class EmulatedDiscovery {
     private final Ground ground;
     private final Network.Listening listening;
@@ -38,7 +41,8 @@
     public void tell(EmulatedNode n, String zone, String state) {
         ground.run(() -> {
             String entry = "{\"uid\":\"" + n.uid + "\",\"endpoint\":\"127.0.0.1:" + n.address().getPort()
-                    + "\",\"az\":\"" + zone + "\",\"model\":\"m\",\"pod_group\":" + n.cell + ",\"state\":\"" + state
+                    + "\",\"az\":\"" + zone + "\",\"model\":\"m\",\"pod_group\":" + n.cell + ",\"state\":\""
+                    + state
                     + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
             if (state.equals("terminated")) {
                 entries.remove(n.uid);
--- a/src/main/java/tinlink/emulator/EmulatedLine.java
+++ b/src/main/java/tinlink/emulator/EmulatedLine.java
@@ -14,9 +14,9 @@
 import tinlink.net.Ring;
 
 /**
- * A line between two sites: takes connections at an address of its own and carries their bytes to another, later.
- * Each way has a delay with jitter (bytes never overtake each other) and a bandwidth. It can be cut, go silent in
- * one or both ways, change bytes, and be cut at a chosen byte.
+ * A line between two sites: takes connections at an address of its own and carries their bytes to another,
+ * later. Each way has a delay with jitter (bytes never overtake each other) and a bandwidth. It can be cut,
+ * go silent in one or both ways, change bytes, and be cut at a chosen byte.
  */
 public final class EmulatedLine {
     /** @param jitterUs is added evenly from 0 to this; @param bytesPerS 0 for no bound */
--- a/src/main/java/tinlink/emulator/EmulatedNode.java
+++ b/src/main/java/tinlink/emulator/EmulatedNode.java
@@ -18,8 +18,9 @@
 import tinlink.net.Ring;
 
 /**
- * A data node of our own on loopback: takes part calls in frames, works on them with so many cores and a bounded
- * queue, answers each, and records what ran. It can be told to stall, to fail, to turn away, to die and to return.
+ * A data node of our own on loopback: takes part calls in frames, works on them with so many cores and a
+ * bounded queue, answers each, and records what ran. It can be told to stall, to fail, to turn away, to die
+ * and to return.
  */
 public final class EmulatedNode {
     /** How it does its work at the moment. */
--- a/src/main/java/tinlink/emulator/EmulatedSite.java
+++ b/src/main/java/tinlink/emulator/EmulatedSite.java
@@ -27,7 +27,8 @@
         discovery = new EmulatedDiscovery(ground);
         long seed = plan.seed();
         for (int cell : plan.cells()) {
-            EmulatedNode n = new EmulatedNode(ground, runs, name + "-" + cell + "-" + nodes.size(), cell, plan.work(),
+            EmulatedNode n = new EmulatedNode(ground, runs, name + "-" + cell + "-" + nodes.size(), cell,
+                    plan.work(),
                     seed++);
             nodes.add(n);
             discovery.tell(n, name, "in_service");
@@ -44,25 +45,30 @@
      * @param gateway keys of deploy/gateway.json5 beside the names, keys and sites; may be empty
      * @return its environment
      */
-    public Map<String, String> router(Path folder, String router, String listen, String gatewayListen, long seed,
+    public Map<String, String> router(Path folder, String router, String listen, String gatewayListen,
+            long seed,
                                       String keys, String gateway, List<String> accepts, List<Far> far) {
         Map<String, List<String>> sites = new LinkedHashMap<>();
         for (Far f : far) {
-            sites.computeIfAbsent(f.site(), s -> new ArrayList<>()).add("{router: '" + f.router() + "', lines: "
+            sites.computeIfAbsent(f.site(), s -> new ArrayList<>()).add("{router: '" + f.router()
+                    + "', lines: "
                     + f.lines().stream().map(a -> "'127.0.0.1:" + a.getPort() + "'").toList() + "}");
         }
         List<String> all = new ArrayList<>();
         sites.forEach((s, routers) -> all.add("{site: '" + s + "', routers: " + routers + "}"));
         try {
             Path config = Files.writeString(folder.resolve(router + ".json"), "{\"name\":\"" + router
-                    + "\",\"listen\":\"" + listen + "\",\"discovery\":\"127.0.0.1:" + discovery.address().getPort()
+                    + "\",\"listen\":\"" + listen + "\",\"discovery\":\"127.0.0.1:"
+                    + discovery.address().getPort()
                     + "\",\"seed\":\"" + Long.toHexString(seed) + "\",\"limits\":{\"sockets\":1024,"
                     + "\"memory_mb\":192},\"settings\":" + plan.settings() + "}");
             Path links = Files.writeString(folder.resolve(router + "-gateway.json5"), "{site: '" + name
                     + "', router: '" + router + "', listen: '" + gatewayListen + "',\n" + keys + ",\n"
                     + (gateway.isEmpty() ? "" : gateway + ",\n")
-                    + "accepts: " + accepts.stream().map(s -> "'" + s + "'").toList() + ",\nsites: " + all + "}\n");
-            return Map.of("NODE_CONFIG", config.toString(), "NODE_GATEWAY", links.toString(), "NODE_LOG", "WARNING");
+                    + "accepts: " + accepts.stream().map(s -> "'" + s + "'").toList() + ",\nsites: " + all
+                    + "}\n");
+            return Map.of("NODE_CONFIG", config.toString(), "NODE_GATEWAY", links.toString(), "NODE_LOG",
+                    "WARNING");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/tinlink/emulator/Ground.java
+++ b/src/main/java/tinlink/emulator/Ground.java
@@ -12,8 +12,8 @@
 import tinlink.net.Network;
 
 /**
- * The loop on which all stand-ins of an emulation run, on a thread of its own. Its state belongs to that thread;
- * {@link #on} reaches it from others.
+ * The loop on which all stand-ins of an emulation run, on a thread of its own. Its state belongs to that
+ * thread; {@link #on} reaches it from others.
  */
 public final class Ground implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger("tinlink.emulator");
--- a/src/main/java/tinlink/emulator/Runs.java
+++ b/src/main/java/tinlink/emulator/Runs.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** What ran where, as the data nodes saw it: the record that rules are checked against. Keeps the newest only. */
+/**
+ * What ran where, as the data nodes saw it: the record that rules are checked against. Keeps the newest only.
+ */
 public final class Runs {
     /** One run of a part, which had its effect at that time; key is null where it had none. */
     public record Run(String part, String node, long atUs, String key) {
--- a/src/main/java/tinlink/gateway/Counters.java
+++ b/src/main/java/tinlink/gateway/Counters.java
@@ -15,7 +15,8 @@
     @Override
     public String toString() {
         StringBuilder line = new StringBuilder();
-        counts.forEach((name, n) -> line.append(line.length() == 0 ? "" : " ").append(name).append('=').append(n));
+        counts.forEach((name, n) ->
+                line.append(line.length() == 0 ? "" : " ").append(name).append('=').append(n));
         return line.toString();
     }
 
--- a/src/main/java/tinlink/gateway/FarPart.java
+++ b/src/main/java/tinlink/gateway/FarPart.java
@@ -20,7 +20,8 @@
     long comeBackUs;
     long tookUs;
 
-    FarPart(Origin origin, long number, long arrivedAt, long leftUs, String id, String index, int shard, String key,
+    FarPart(Origin origin, long number, long arrivedAt, long leftUs, String id, String index, int shard,
+            String key,
             byte[] text, boolean repeat) {
         super(origin, number);
         this.arrivedAt = arrivedAt;
--- a/src/main/java/tinlink/gateway/FarSession.java
+++ b/src/main/java/tinlink/gateway/FarSession.java
@@ -92,7 +92,8 @@
         }
         sealed(gateway.keys.proof(keyId, "session", hello, challenge), false);
         ByteBuffer counts = ByteBuffer.wrap(next);
-        origin = gateway.taker.opened(site + "/" + router, line, incarnation, counts.getLong(), counts.getLong(), this);
+        origin = gateway.taker.opened(site + "/" + router, line, incarnation, counts.getLong(),
+                counts.getLong(), this);
         if (origin == null) {
             throw Wire.bad("too many routers are connected");
         }
@@ -116,9 +117,10 @@
             throw Wire.bad("a part out of range");
         }
         gateway.counters.add("far_parts");
-        // Danger: a line that holds a part back for long and then brings it. Its age is no more than the time since
-        // the answer to a heartbeat left here, less the time for which its near router has had that answer: a round
-        // trip, which is also what its own answer needs. An old answer can't be told apart and counts as too old.
+        // Danger: a line that holds a part back for long and then brings it. Its age is no more than the time
+        // since the answer to a heartbeat left here, less the time for which its near router has had that
+        // answer: a round trip, which is also what its own answer needs. An old answer can't be told apart
+        // and counts as too old.
         long now = gateway.loop.now();
         long ageUs = pongedAt == null ? Long.MAX_VALUE / 2 : Math.max(0, now - pongedAt - heldUs);
         long mayUs = Math.min(leftUs, effectUs) - ageUs;
--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -29,14 +29,15 @@
 import tinlink.net.Network;
 
 /**
- * The links of one router with those of other sites, both ways: the hands of {@link FarRouter} and {@link Taker},
- * which decide. Runs on the loop's thread; it is pulled twice a turn.
+ * The links of one router with those of other sites, both ways: the hands of {@link FarRouter} and {@link
+ * Taker}, which decide. Runs on the loop's thread; it is pulled twice a turn.
  */
 public final class Gateway implements FarRouter.Hands, Taker.Hands, Network.Door {
     static final int MOST_LINES = 16;
     private static final Logger LOG = Logger.getLogger("tinlink.gateway");
     /** Connections that may be here without having proved themselves. */
     private static final int MOST_STRANGERS = 16;
+    private static final long COUNTS_US = 60_000_000;
     /** A near router that has said nothing for so many heartbeats is gone. */
     private static final int SILENT_BEATS = 12;
 
@@ -99,8 +100,10 @@
     };
     private BitSet cells = new BitSet();
     private boolean leaving;
+    private String toldCounts = "";
 
-    public Gateway(Loop loop, Network network, Names names, Keys keys, Times times, Bounds bounds, List<Far> far,
+    public Gateway(Loop loop, Network network, Names names, Keys keys, Times times, Bounds bounds,
+            List<Far> far,
                    long seed, Stages stages) {
         this.loop = loop;
         this.network = network;
@@ -108,10 +111,12 @@
         this.keys = keys;
         this.times = times;
         this.stages = stages;
-        taker = new Taker(new Taker.Bounds(bounds.parts(), bounds.kept(), bounds.keptBytes(), bounds.origins(),
+        taker = new Taker(new Taker.Bounds(bounds.parts(), bounds.kept(), bounds.keptBytes(),
+                bounds.origins(),
                 2 * times.longestUs(), times.beatUs()));
         SplittableRandom random = new SplittableRandom(seed);
-        FarRouter.Patience patience = new FarRouter.Patience(times.beatUs(), bounds.waiting(), times.recoverUs());
+        FarRouter.Patience patience = new FarRouter.Patience(times.beatUs(), bounds.waiting(),
+                times.recoverUs());
         for (Far f : far) {
             this.far.put(new FarRouter(f.router(), f.lines().size(), patience, this::servedElsewhere,
                     random.split()), f);
@@ -134,6 +139,16 @@
         }
     }
 
+    /** Says the counters once a minute, where one has changed, and at the stop. */
+    public void tellCounts() {
+        String now = counters.toString();
+        if (!now.equals(toldCounts)) {
+            toldCounts = now;
+            LOG.log(Level.INFO, "event=gateway_counts {0}", now);
+        }
+        loop.at(loop.now() + COUNTS_US, this::tellCounts);
+    }
+
     public void listen(InetSocketAddress at) throws IOException {
         listening = network.listening(at);
         listening.accept(this);
@@ -244,7 +259,8 @@
     @Override
     public void askFates(Lane on, Lane about) {
         Set<Long> numbers = about.open().keySet();
-        Wire.Out o = new Wire.Out().two(about.index).eight(about.ups()).eight(about.next()).two(numbers.size());
+        Wire.Out o = new Wire.Out().two(about.index).eight(about.ups()).eight(about.next())
+                .two(numbers.size());
         numbers.forEach(o::eight);
         counters.add("near_fates_asked");
         near.get(on).send(Wire.FATES, o.made());
@@ -383,6 +399,7 @@
 
     /** Says to each near router which part was the last; what is in hand is finished. */
     public void leave() {
+        tellCounts();
         leaving = true;
         taker.leaves();
         for (FarSession s : new ArrayList<>(known.keySet())) {
--- a/src/main/java/tinlink/gateway/Keys.java
+++ b/src/main/java/tinlink/gateway/Keys.java
@@ -8,8 +8,9 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * The keys that two sites share, by id: all of them are good for proving who one is, one is used to call others.
- * So a key is replaced without a cut: add the new one everywhere, then use it everywhere, then take the old away.
+ * The keys that two sites share, by id: all of them are good for proving who one is, one is used to call
+ * others. So a key is replaced without a cut: add the new one everywhere, then use it everywhere, then take
+ * the old away.
  */
 public record Keys(Map<String, byte[]> ring, String use) {
     private static final String HMAC = "HmacSHA256";
@@ -39,7 +40,8 @@
             mac.init(new SecretKeySpec(key, HMAC));
             return mac;
         } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("this JVM has no " + HMAC, e); // Every Java platform has to have it.
+            throw new IllegalStateException("this JVM has no " + HMAC,
+                    e); // Every Java platform has to have it.
         }
     }
 
--- a/src/main/java/tinlink/gateway/NearSession.java
+++ b/src/main/java/tinlink/gateway/NearSession.java
@@ -10,7 +10,9 @@
 import tinlink.net.BadMessage;
 import tinlink.net.Ending;
 
-/** The near side of a line to a far router: calls it, proves itself, passes parts on and hears of their fates. */
+/**
+ * The near side of a line to a far router: calls it, proves itself, passes parts on and hears of their fates.
+ */
 final class NearSession extends Session {
     private static final Logger LOG = Logger.getLogger("tinlink.gateway");
     private final Gateway gateway;
@@ -30,7 +32,8 @@
     @Override
     public void up() {
         keyId = gateway.keys.use();
-        hello = new Wire.Out().two(Wire.VERSION).text(keyId).text(gateway.names.site()).text(gateway.names.router())
+        hello = new Wire.Out().two(Wire.VERSION).text(keyId).text(gateway.names.site())
+                .text(gateway.names.router())
                 .two(lane.index).eight(gateway.names.incarnation()).bytes(gateway.nonce()).made();
         saidAt = gateway.loop.now();
         send(Wire.HELLO, hello);
@@ -47,7 +50,8 @@
             case Wire.WINDOW -> lane.router.window(Math.max(0, in.getInt()));
             case Wire.CELLS -> lane.router.serves(BitSet.valueOf(in));
             case Wire.BYE -> {
-                LOG.log(Level.INFO, "event=far_leaves site={0} router={1}", new Object[] {site, lane.router.name});
+                LOG.log(Level.INFO, "event=far_leaves site={0} router={1}",
+                        new Object[] {site, lane.router.name});
                 lane.router.leaves(lane, in.getLong());
             }
             case Wire.SAY -> fate(in);
@@ -80,7 +84,8 @@
                 .bytes(gateway.keys.proof(keyId, "near proof", hello, challenge, next)).made());
         sealed(gateway.keys.proof(keyId, "session", hello, challenge), true);
         gateway.counters.add("near_lines_up");
-        LOG.log(Level.INFO, "event=line_up site={0} router={1} line={2} round_trip_us={3}", new Object[] {site,
+        LOG.log(Level.INFO, "event=line_up site={0} router={1} line={2} round_trip_us={3}",
+                new Object[] {site,
             router, lane.index, String.valueOf(gateway.loop.now() - saidAt)});
         lane.router.up(lane, incarnation, gateway.loop.now() - saidAt);
     }
@@ -110,7 +115,8 @@
     @Override
     void over(Ending how) {
         boolean was = gateway.out(this);
-        LOG.log(was ? Level.WARNING : Level.FINE, "event=line_down site={0} router={1} line={2} how={3} open={4}",
+        LOG.log(was ? Level.WARNING : Level.FINE,
+                "event=line_down site={0} router={1} line={2} how={3} open={4}",
                 new Object[] {site, lane.router.name, lane.index, how, lane.open().size()});
         gateway.counters.add("near_lines_" + how.name().toLowerCase(java.util.Locale.ROOT));
         lane.router.lost(lane, p -> link.left(((NearPart) p).place));
--- a/src/main/java/tinlink/gateway/Session.java
+++ b/src/main/java/tinlink/gateway/Session.java
@@ -11,7 +11,10 @@
 import tinlink.net.Loop;
 import tinlink.net.Ring;
 
-/** One connection between two routers, on either side: messages out and in, sealed once both have proved themselves. */
+/**
+ * One connection between two routers, on either side: messages out and in, sealed once both have proved
+ * themselves.
+ */
 abstract class Session implements Link.Owner, FrameIn.Sink {
     private static final Logger LOG = Logger.getLogger("tinlink.gateway");
     private final Loop loop;
@@ -61,7 +64,8 @@
         byte[] seal = outSeal == null ? new byte[0] : outSeal.next(type, body, 0, body.length);
         int length = 1 + body.length + seal.length;
         Ring out = link.out();
-        out.put(new byte[] {(byte) (length >> 24), (byte) (length >> 16), (byte) (length >> 8), (byte) length, type});
+        out.put(new byte[] {(byte) (length >> 24), (byte) (length >> 16), (byte) (length >> 8),
+                (byte) length, type});
         out.put(body).put(seal);
         return link.later();
     }
--- a/src/main/java/tinlink/gateway/Wire.java
+++ b/src/main/java/tinlink/gateway/Wire.java
@@ -8,9 +8,9 @@
 import tinlink.net.Protocol;
 
 /**
- * The messages between two routers of different sites; docs/protocol-gateway.md describes them byte by byte. All
- * numbers are big-endian; a text is a length of one byte and so many bytes of UTF-8. Durations alone cross the
- * line, no reading of a clock.
+ * The messages between two routers of different sites; docs/protocol-gateway.md describes them byte by byte.
+ * All numbers are big-endian; a text is a length of one byte and so many bytes of UTF-8. Durations alone
+ * cross the line, no reading of a clock.
  */
 final class Wire {
     static final int VERSION = 1;
--- a/src/main/java/tinlink/gateway/choice/FarRouter.java
+++ b/src/main/java/tinlink/gateway/choice/FarRouter.java
@@ -9,9 +9,9 @@
 
 /**
  * What the near side decides about one router of another site: whether it may be used and for which cells, on
- * which of its lines a part leaves and when, what is asked about after a cut, when a line is tried again. Inputs
- * only update what is known; {@link #decide} is pulled until it says false. No I/O, no clock, no chance of its
- * own. Times are microseconds.
+ * which of its lines a part leaves and when, what is asked about after a cut, when a line is tried again.
+ * Inputs only update what is known; {@link #decide} is pulled until it says false. No I/O, no clock, no
+ * chance of its own. Times are microseconds.
  */
 public final class FarRouter {
     /** The shortest wait before a line is tried again, in heartbeats, and the longest. */
@@ -84,7 +84,8 @@
     /** No part's time is over before; early by some, since parts leave in between. */
     private long dueAt = Long.MAX_VALUE;
 
-    public FarRouter(String name, int lanes, Patience patience, Elsewhere elsewhere, SplittableRandom random) {
+    public FarRouter(String name, int lanes, Patience patience, Elsewhere elsewhere,
+            SplittableRandom random) {
         this.name = name;
         this.patience = patience;
         this.elsewhere = elsewhere;
@@ -104,8 +105,8 @@
     }
 
     /**
-     * A line is up and its far end has proved who it is. Danger: a router with another incarnation has started
-     * anew; it knows nothing of what the one before it ran.
+     * A line is up and its far end has proved who it is. Danger: a router with another incarnation has
+     * started anew; it knows nothing of what the one before it ran.
      */
     public void up(Lane l, long incarnation, long roundTripUs) {
         if (incarnation != this.incarnation) {
@@ -189,8 +190,8 @@
     }
 
     /**
-     * It stops: of what left on that line, nothing past the last one that it names was begun or will be. It is
-     * trusted again as a new incarnation.
+     * It stops: of what left on that line, nothing past the last one that it names was begun or will be. It
+     * is trusted again as a new incarnation.
      */
     public void leaves(Lane l, long lastBegun) {
         leaving = true;
--- a/src/main/java/tinlink/gateway/choice/Forwarded.java
+++ b/src/main/java/tinlink/gateway/choice/Forwarded.java
@@ -1,6 +1,9 @@
 package tinlink.gateway.choice;
 
-/** A part on its way to another site, as the near router knows it. Fields only; the choice keeps its notes here. */
+/**
+ * A part on its way to another site, as the near router knows it. Fields only; the choice keeps its notes
+ * here.
+ */
 public class Forwarded {
     enum State {
         /** For a credit of the far router's. */
--- a/src/main/java/tinlink/gateway/choice/Lane.java
+++ b/src/main/java/tinlink/gateway/choice/Lane.java
@@ -46,7 +46,9 @@
         return pongNumber;
     }
 
-    /** How long ago it was answered. Danger: a part's age over there is told from this; a clock can't cross. */
+    /**
+     * How long ago it was answered. Danger: a part's age over there is told from this; a clock can't cross.
+     */
     public long sincePongUs(long now) {
         return now - pongedAt;
     }
--- a/src/main/java/tinlink/gateway/choice/Origin.java
+++ b/src/main/java/tinlink/gateway/choice/Origin.java
@@ -2,7 +2,10 @@
 
 import java.util.TreeMap;
 
-/** One line of one start of a router of another site, as the far router knows it. The choice keeps its notes here. */
+/**
+ * One line of one start of a router of another site, as the far router knows it. The choice keeps its notes
+ * here.
+ */
 public final class Origin {
     /** Site and router. */
     final String who;
--- a/src/main/java/tinlink/gateway/choice/Pulse.java
+++ b/src/main/java/tinlink/gateway/choice/Pulse.java
@@ -3,10 +3,10 @@
 import org.apache.commons.statistics.distribution.NormalDistribution;
 
 /**
- * Whether a line can be believed in. Accrual: the longer the answer to a heartbeat is overdue, measured by how
- * regularly answers have come so far, the less likely the line is sound. Two levels: past the first nothing new
- * is sent on it, past the second it is cut. Hysteresis: a line that has failed of late has to show more answers
- * in a row before it is trusted again. Times are microseconds of one clock; no I/O.
+ * Whether a line can be believed in. Accrual: the longer the answer to a heartbeat is overdue, measured by
+ * how regularly answers have come so far, the less likely the line is sound. Two levels: past the first
+ * nothing new is sent on it, past the second it is cut. Hysteresis: a line that has failed of late has to
+ * show more answers in a row before it is trusted again. Times are microseconds of one clock; no I/O.
  *
  * <p>Source: N. Hayashibara and others, "The phi accrual failure detector" (SRDS 2004), with the two levels
  * computed as times rather than as a figure that is polled.
--- a/src/main/java/tinlink/gateway/choice/Taker.java
+++ b/src/main/java/tinlink/gateway/choice/Taker.java
@@ -9,10 +9,10 @@
 import java.util.Set;
 
 /**
- * What the far side decides about parts that other sites forward: what begins, what has been here already, what
- * is told of it, how much each near router may have here, what is forgotten and when. A number that has been
- * seen never runs a second time. Inputs only update what is known; {@link #decide} is pulled until it says
- * false. No I/O. Times are microseconds.
+ * What the far side decides about parts that other sites forward: what begins, what has been here already,
+ * what is told of it, how much each near router may have here, what is forgotten and when. A number that has
+ * been seen never runs a second time. Inputs only update what is known; {@link #decide} is pulled until it
+ * says false. No I/O. Times are microseconds.
  */
 public final class Taker {
     /** What decisions are carried out with. */
@@ -75,8 +75,8 @@
     }
 
     /**
-     * A near router has proved who it is. Danger: its connection before may still bring parts that it has been
-     * told, or will be told, were never begun.
+     * A near router has proved who it is. Danger: its connection before may still bring parts that it has
+     * been told, or will be told, were never begun.
      *
      * @param ups how often the line has come up, this time included
      * @param next it has sent no part of that number or a higher one on this line yet
@@ -146,8 +146,8 @@
     }
 
     /**
-     * A part has arrived. Danger: the same frame twice or late, on this connection or another: what has been seen,
-     * or lies under the fence, never runs.
+     * A part has arrived. Danger: the same frame twice or late, on this connection or another: what has been
+     * seen, or lies under the fence, never runs.
      *
      * @param inTime it may have its effect now; one that was long on the way may not
      */
@@ -237,9 +237,9 @@
     }
 
     /**
-     * Asked on a session about a line of the same router: all that it still has use for. The rest is given up.
-     * Danger: a question that comes late over a slow line, after the line that it is about is up again: it knows
-     * nothing of what has been sent there since.
+     * Asked on a session about a line of the same router: all that it still has use for. The rest is given
+     * up. Danger: a question that comes late over a slow line, after the line that it is about is up again:
+     * it knows nothing of what has been sent there since.
      *
      * @param asker the origin of the session
      * @param ups how often that line had come up when this was asked
@@ -256,7 +256,8 @@
             return; // Asked again since, on that line itself.
         }
         if (o != asker && o.session != null) {
-            // Danger: a half-open connection of that line could still bring what is now said to be never begun.
+            // Danger: a half-open connection of that line could still bring what is now said to be never
+            // begun.
             Object before = o.session;
             ready.add(() -> hands.close(before));
         }
@@ -304,7 +305,8 @@
         }
         if (now >= adjustAt) {
             adjustAt = now + bounds.beatUs();
-            // Additive growth, a quarter less on refusals: the near sides hold back what would be refused here.
+            // Additive growth, a quarter less on refusals: the near sides hold back what would be refused
+            // here.
             limit = refused ? Math.max(1, 0.75 * limit)
                     : Math.min(bounds.running(), limit + Math.max(1, bounds.running() / 32.0));
             refused = false;
--- a/src/main/java/tinlink/lab/Emulation.java
+++ b/src/main/java/tinlink/lab/Emulation.java
@@ -27,8 +27,10 @@
                     + s.nodes.stream().map(n -> n.cell).distinct().toList()));
             TwoSites.Running first = world.routers.values().iterator().next();
             int last = plan.allCells() - 1;
-            System.out.println("Shard " + last + " is asked of " + first.name + " by\n  curl -i http://127.0.0.1:"
-                    + first.address().getPort() + "/api -H 'X-Call-Id: q1' -H 'X-Call-Class: search' -H 'X-Budget-Ms: "
+            System.out.println("Shard " + last + " is asked of " + first.name
+                    + " by\n  curl -i http://127.0.0.1:"
+                    + first.address().getPort()
+                    + "/api -H 'X-Call-Id: q1' -H 'X-Call-Class: search' -H 'X-Budget-Ms: "
                     + "2000' \\\n    -d '{\"segments\":[{\"segment\":0,\"boost\":0.5},{\"segment\":" + last
                     + ",\"boost\":0.5}],\"text\":\"abc\"}'\nInterrupt to end.");
             Thread.currentThread().join();
@@ -60,12 +62,14 @@
         long kb = line.whole("kb_per_s", 10_000, 1, 1_000_000);
         EmulatedLine.Way way = new EmulatedLine.Way(delay, jitter, 1000 * kb);
         JsonFile work = f.object("nodes");
-        TwoSites.Plan plan = new TwoSites.Plan(cells, shards, f.whole("routers", 2, 1, 16), f.whole("lines", 1, 1, 16),
-                way, way, new EmulatedNode.Work(work.whole("cores", 4, 1, 1024), work.whole("queue", 64, 1, 65_536),
+        TwoSites.Plan plan = new TwoSites.Plan(cells, shards, f.whole("routers", 2, 1, 16),
+                f.whole("lines", 1, 1, 16),
+                way, way, new EmulatedNode.Work(work.whole("cores", 4, 1, 1024),
+                work.whole("queue", 64, 1, 65_536),
                 work.micros("median_ms", 5, 0.01, 60_000), work.number("sigma", 0.5, 0.01, 3)),
-                "\"tryLimit\":3,\"secondCopies\":true,\"cancel\":true,\"retryAfter\":true,\"maxRetryAfterMs\":1000,"
-                + "\"openCap\":2000,\"connectTimeoutMs\":250,\"connIdleMs\":30000,\"streamsPerConn\":100",
-                profile("search", "pure") + "," + profile("book", "token") + "," + profile("charge", "side_effect"),
+                TwoSites.LIMITS,
+                profile("search", "pure") + "," + profile("book", "token") + ","
+                + profile("charge", "side_effect"),
                 "\"completeFrom\":[0.67,1,1],\"minShare\":[0.3,1,1],\"incompleteWorth\":[0.5,0,0]", "",
                 f.whole("port", 8080, 0, 65_000), f.whole("seed", 1, 0, Integer.MAX_VALUE));
         f.nothingElse();
--- a/src/main/java/tinlink/lab/GatewayLab.java
+++ b/src/main/java/tinlink/lab/GatewayLab.java
@@ -17,9 +17,9 @@
 import tinlink.emulator.EmulatedNode;
 
 /**
- * The experiment of the gateway: two sites of two routers, a third of the lookups with a part that the other site
- * alone holds, all three effects. Three sides of one run: without trouble; with lines that are cut, silent or noisy
- * and a far router killed; and the same trouble with no fates asked.
+ * The experiment of the gateway: two sites of two routers, a third of the lookups with a part that the other
+ * site alone holds, all three effects. Three sides of one run: without trouble; with lines that are cut,
+ * silent or noisy and a far router killed; and the same trouble with no fates asked.
  */
 public final class GatewayLab {
     private static final Logger LOG = Logger.getLogger("tinlink");
@@ -52,7 +52,10 @@
         int killed;
         int onceAborted;
         int stray;
-        /** Once-only and fingerprinted parts whose line was cut while their far router lived, by what came of them. */
+        /**
+         * Once-only and fingerprinted parts whose line was cut while their far router lived, by what came of
+         * them.
+         */
         long unsure;
         long recovered;
         final Map<String, Integer> troubles = new LinkedHashMap<>();
@@ -81,10 +84,11 @@
     private TwoSites world(boolean fates) throws IOException, InterruptedException {
         EmulatedLine.Way way = new EmulatedLine.Way(1000 * delayMs, 100 * delayMs, 2_000_000);
         return new TwoSites(new TwoSites.Plan(Map.of("east", List.of(0, 0, 1, 1, 2, 2, 3, 3),
-                "west", List.of(2, 2, 3, 3, 4, 4, 5, 5)), 6, 2, 1, way, way, new EmulatedNode.Work(4, 64, 4000, 0.5),
-                "\"tryLimit\":3,\"secondCopies\":true,\"cancel\":true,\"retryAfter\":true,\"maxRetryAfterMs\":1000,"
-                + "\"openCap\":2000,\"connectTimeoutMs\":250,\"connIdleMs\":30000,\"streamsPerConn\":100",
-                PROFILES, "\"completeFrom\":[1,1,1,1],\"minShare\":[0.3,1,1,1],\"incompleteWorth\":[0.5,0,0,0]",
+                "west", List.of(2, 2, 3, 3, 4, 4, 5, 5)), 6, 2, 1, way, way,
+                new EmulatedNode.Work(4, 64, 4000, 0.5),
+                TwoSites.LIMITS,
+                PROFILES, "\"completeFrom\":[1,1,1,1],\"minShare\":[0.3,1,1,1],"
+                + "\"incompleteWorth\":[0.5,0,0,0]",
                 fates ? "recover_ms: 2500" : "recover_ms: 0", 0, seed));
     }
 
@@ -99,14 +103,18 @@
         System.out.println(table);
         Files.createDirectories(folder);
         Files.writeString(folder.resolve("table.txt"), table);
-        Charts.latencies(folder.resolve("latency.png"), "Lookups by what they need, " + delayMs + " ms each way",
-                Map.of("calm, near", calm.near, "calm, far", calm.far, "trouble, near", fates.near, "trouble, far",
+        Charts.latencies(folder.resolve("latency.png"),
+                "Lookups by what they need, " + delayMs + " ms each way",
+                Map.of("calm, near", calm.near, "calm, far", calm.far, "trouble, near", fates.near,
+                "trouble, far",
                         fates.far));
         double hop = calm.ms(calm.far, 50) - calm.ms(calm.near, 50) - 2 * (delayMs + delayMs / 20.0);
         double nearRatio = fates.ms(fates.near, 99) / calm.ms(calm.near, 99);
         double share = fates.unsure == 0 ? 1 : (double) fates.recovered / fates.unsure;
-        System.out.printf(Locale.ROOT, "hop over the line's delay at the median: %.1f ms; near-only p99 with trouble over"
-                + " without: %.2f; recovered %d of %d parts that may run once and whose far router lived%n", hop,
+        System.out.printf(Locale.ROOT,
+                "hop over the line's delay at the median: %.1f ms; near-only p99 with trouble over"
+                + " without: %.2f; recovered %d of %d parts that may run once and whose far router lived%n",
+                hop,
                 nearRatio, fates.recovered, fates.unsure);
         List<String> broken = new ArrayList<>();
         for (Side s : sides) {
@@ -119,9 +127,12 @@
                 broken.add(s.name + " answered after the final answer");
             }
         }
-        System.out.printf(Locale.ROOT, "gateway: lookups=%d whole=%d partial=%d nacked=%d aborted=%d lost=%d late=%d "
-                + "repeated=%d dishonest=%d p50_ms=%.1f p99_ms=%.1f near_p99_ms=%.1f near_ratio=%.2f hop_ms=%.1f "
-                + "recovered=%.2f   %s%n", fates.lookups, fates.whole, fates.partial, fates.nacked, fates.aborted,
+        System.out.printf(Locale.ROOT,
+                "gateway: lookups=%d whole=%d partial=%d nacked=%d aborted=%d lost=%d late=%d "
+                + "repeated=%d dishonest=%d p50_ms=%.1f p99_ms=%.1f near_p99_ms=%.1f near_ratio=%.2f "
+                + "hop_ms=%.1f "
+                + "recovered=%.2f   %s%n", fates.lookups, fates.whole, fates.partial, fates.nacked,
+                fates.aborted,
                 fates.rules.lost.size(), fates.rules.late.size(), fates.rules.repeated.size(),
                 fates.rules.dishonest.size(), fates.ms(fates.all, 50), fates.ms(fates.all, 99),
                 fates.ms(fates.near, 99), nearRatio, hop, share,
@@ -192,7 +203,10 @@
         }
     }
 
-    /** Troubles at times from the seed: lines that snap, are cut, go silent or noisy; one router killed and back. */
+    /**
+     * Troubles at times from the seed: lines that snap, are cut, go silent or noisy; one router killed and
+     * back.
+     */
     private void trouble(TwoSites world, Load load, SplittableRandom random, double seconds, Side side)
             throws InterruptedException, IOException {
         long end = System.nanoTime() + Math.round(1e9 * seconds);
@@ -243,15 +257,21 @@
     }
 
     private String table(List<Side> sides) {
-        StringBuilder t = new StringBuilder(String.format(Locale.ROOT, "%d ms each way, seed %d; emulated data nodes%n"
-                + "%-24s %8s %7s %7s %7s %8s %9s %7s %9s %9s %9s %9s%n", delayMs, seed, "side", "lookups", "whole",
-                "partial", "nacked", "aborted", "once ab.", "killed", "near p50", "near p99", "far p50", "far p99"));
+        StringBuilder t = new StringBuilder(String.format(Locale.ROOT,
+                "%d ms each way, seed %d; emulated data nodes%n"
+                + "%-24s %8s %7s %7s %7s %8s %9s %7s %9s %9s %9s %9s%n", delayMs, seed, "side", "lookups",
+                "whole",
+                "partial", "nacked", "aborted", "once ab.", "killed", "near p50", "near p99", "far p50",
+                "far p99"));
         for (Side s : sides) {
-            t.append(String.format(Locale.ROOT, "%-24s %8d %7d %7d %7d %8d %9d %7d %9.1f %9.1f %9.1f %9.1f%n", s.name,
-                    s.lookups, s.whole, s.partial, s.nacked, s.aborted, s.onceAborted, s.killed, s.ms(s.near, 50),
+            t.append(String.format(Locale.ROOT,
+                    "%-24s %8d %7d %7d %7d %8d %9d %7d %9.1f %9.1f %9.1f %9.1f%n", s.name,
+                    s.lookups, s.whole, s.partial, s.nacked, s.aborted, s.onceAborted, s.killed,
+                    s.ms(s.near, 50),
                     s.ms(s.near, 99), s.ms(s.far, 50), s.ms(s.far, 99)));
             if (!s.troubles.isEmpty()) {
-                t.append("    ").append(s.troubles).append(", ").append(s.recovered).append(" of ").append(s.unsure)
+                t.append("    ").append(s.troubles).append(", ").append(s.recovered).append(" of ")
+                        .append(s.unsure)
                         .append(" parts that may run once recovered\n");
             }
         }
--- a/src/main/java/tinlink/lab/Load.java
+++ b/src/main/java/tinlink/lab/Load.java
@@ -11,8 +11,9 @@
 import tinlink.emulator.EmulatedClient.Ask;
 
 /**
- * Asks the routers of an emulation at times that were fixed beforehand, whether answers come or not, and keeps what
- * came of each against the time when it was due (so a router that stands still is charged for all who wait).
+ * Asks the routers of an emulation at times that were fixed beforehand, whether answers come or not, and
+ * keeps what came of each against the time when it was due (so a router that stands still is charged for all
+ * who wait).
  */
 final class Load {
     /** An index: its name, its effect, and for a fingerprinted one the window of its key. */
@@ -74,7 +75,8 @@
         for (TwoSites.Running r : world.routers.values()) {
             List<Integer> near = r.site.nodes.stream().map(x -> x.cell).distinct().toList();
             List<Integer> far = world.sites.values().stream().filter(s -> s != r.site)
-                    .flatMap(s -> s.nodes.stream()).map(x -> x.cell).distinct().filter(c -> !near.contains(c)).toList();
+                    .flatMap(s -> s.nodes.stream()).map(x -> x.cell).distinct().filter(c ->
+                    !near.contains(c)).toList();
             double at = 0;
             while (true) {
                 at += -Math.log(1 - random.nextDouble()) / perSecond;
--- a/src/main/java/tinlink/lab/Rules.java
+++ b/src/main/java/tinlink/lab/Rules.java
@@ -6,8 +6,8 @@
 import tinlink.emulator.Runs;
 
 /**
- * Checks of the rules from what the data nodes ran and what the clients were told; the routers' own word counts for
- * nothing. Each finding names the lookup.
+ * Checks of the rules from what the data nodes ran and what the clients were told; the routers' own word
+ * counts for nothing. Each finding names the lookup.
  */
 final class Rules {
     /** On sockets the limits are so much longer. */
@@ -39,7 +39,8 @@
             List<Runs.Run> ran = runs.of(a.ask.id() + "." + shard);
             for (int i = 1; i < ran.size() && !a.kind.idempotent(); i++) {
                 if (a.kind.onceOnly() || ran.get(i).atUs() > ran.get(0).atUs() + a.kind.windowUs()) {
-                    repeated.add(a.ask.id() + "." + shard + " " + a.kind.name() + " " + ran.stream().map(r -> r.node()
+                    repeated.add(a.ask.id() + "." + shard + " " + a.kind.name() + " "
+                            + ran.stream().map(r -> r.node()
                             + " after " + (r.atUs() - a.dueUs) / 1000 + " ms").toList());
                     break;
                 }
--- a/src/main/java/tinlink/lab/TwoSites.java
+++ b/src/main/java/tinlink/lab/TwoSites.java
@@ -19,15 +19,19 @@
 import tinlink.router.Router;
 import tinlink.start.RouterStart;
 
-/** Two whole sites on loopback: data nodes, discovery, routers that are real ones, and the lines between them. */
+/**
+ * Two whole sites on loopback: data nodes, discovery, routers that are real ones, and the lines between them.
+ */
 public final class TwoSites implements AutoCloseable {
     /**
      * @param cells of each site, by its name; @param lines from each router to each of the other site's
      * @param gateway further keys of each router's gateway file, as JSON5; may be empty
      * @param firstPort where the first router listens; 0 for any
      */
-    public record Plan(Map<String, List<Integer>> cells, int allCells, int routers, int lines, EmulatedLine.Way there,
-                       EmulatedLine.Way back, EmulatedNode.Work work, String limits, String profiles, String info,
+    public record Plan(Map<String, List<Integer>> cells, int allCells, int routers, int lines,
+            EmulatedLine.Way there,
+                       EmulatedLine.Way back, EmulatedNode.Work work, String limits, String profiles,
+                       String info,
                        String gateway, int firstPort, long seed) {
     }
 
@@ -113,6 +117,10 @@
         }
     }
 
+    /** Limits of a router as emulated sites have them, as JSON. */
+    public static final String LIMITS = "\"tryLimit\":3,\"secondCopies\":true,\"cancel\":true,"
+            + "\"retryAfter\":true,\"maxRetryAfterMs\":1000,\"openCap\":2000,\"connectTimeoutMs\":250,"
+            + "\"connIdleMs\":30000,\"streamsPerConn\":100";
     public static final String KEYS = "keys: {k1: '00112233445566778899aabbccddeeff'}, use_key: 'k1'";
     public final Ground ground = new Ground();
     public final Runs runs = new Runs(1 << 20);
@@ -129,7 +137,8 @@
         List<String> names = new ArrayList<>(plan.cells().keySet());
         int port = plan.firstPort();
         for (String name : names) {
-            EmulatedSite site = new EmulatedSite(ground, runs, new EmulatedSite.Plan(name, plan.cells().get(name),
+            EmulatedSite site = new EmulatedSite(ground, runs,
+                    new EmulatedSite.Plan(name, plan.cells().get(name),
                     plan.work(), settings(plan, names, name), seed += 1000));
             sites.put(name, site);
             for (int i = 1; i <= plan.routers(); i++) {
@@ -151,7 +160,8 @@
                     far.add(new EmulatedSite.Far(f.site.name, f.name, at));
                 }
             }
-            near.env = near.site.router(folder, near.name, "127.0.0.1:" + near.port, "127.0.0.1:0", seed++, KEYS,
+            near.env = near.site.router(folder, near.name, "127.0.0.1:" + near.port, "127.0.0.1:0", seed++,
+                    KEYS,
                     plan.gateway(), names.stream().filter(n -> !n.equals(near.site.name)).toList(), far);
         }
         for (Running r : routers.values()) {
@@ -170,16 +180,20 @@
     }
 
     private static String settings(Plan plan, List<String> names, String name) {
-        return "{\"family\":\"fanout\",\"discovery\":\"pushed\",\"groupSize\":" + plan.routers() + ",\"zone\":"
+        return "{\"family\":\"fanout\",\"discovery\":\"pushed\",\"groupSize\":" + plan.routers()
+                + ",\"zone\":"
                 + names.indexOf(name) + ",\"stepMs\":5,\"localities\":[" + String.join(",",
                 names.stream().map(n -> "\"" + n + "\"").toList()) + "],\"models\":[\"m\"],"
-                + "\"familyInfo\":{\"sets\":" + plan.allCells() + ",\"slabs\":" + plan.allCells() + ",\"reach\":1,"
+                + "\"familyInfo\":{\"sets\":" + plan.allCells() + ",\"slabs\":" + plan.allCells()
+                + ",\"reach\":1,"
                 + "\"bundleMax\":4,\"callMs\":1," + plan.info() + "},\"profiles\":[" + plan.profiles()
                 + "],\"limits\":{" + plan.limits() + "},\"rules\":{\"startCapacity\":0.2,\"coldMs\":0,"
                 + "\"fallMultiple\":4,\"fallMs\":3000},\"charges\":{\"crossZone\":0.02}}";
     }
 
-    /** Waits until each router reaches all cells, its own and the other site's; false if it takes too long. */
+    /**
+     * Waits until each router reaches all cells, its own and the other site's; false if it takes too long.
+     */
     public boolean joined(long mostMs) throws InterruptedException {
         for (long i = 0; i < mostMs / 10; i++) {
             if (routers.values().stream().allMatch(Running::joined)) {
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -103,7 +103,9 @@
         return sites.count(name);
     }
 
-    /** From another thread: how many cells are reached at other sites now, each once for each router there. */
+    /**
+     * From another thread: how many cells are reached at other sites now, each once for each router there.
+     */
     public int farCells() {
         return sites.farCells();
     }
--- a/src/main/java/tinlink/router/SiteLinks.java
+++ b/src/main/java/tinlink/router/SiteLinks.java
@@ -29,8 +29,8 @@
 import tinlink.start.RouterStart;
 
 /**
- * What a request's stages and the links with other sites have to do with each other. Far routers stand before the
- * module as data nodes, one a cell; parts that come from other sites are lookups of one part.
+ * What a request's stages and the links with other sites have to do with each other. Far routers stand before
+ * the module as data nodes, one a cell; parts that come from other sites are lookups of one part.
  */
 final class SiteLinks implements Gateway.Stages, Query.Asker {
     private static final Logger LOG = Logger.getLogger("tinlink.gateway");
@@ -69,7 +69,9 @@
         }
         stages.roster.tells(gateway::cells);
         stages.turn.beside(gateway.turn());
-        LOG.log(Level.INFO, "event=gateway_on site={0} router={1} far={2} listen={3}", new Object[] {g.site, g.router,
+        gateway.tellCounts();
+        LOG.log(Level.INFO, "event=gateway_on site={0} router={1} far={2} listen={3}",
+                new Object[] {g.site, g.router,
             g.far.size(), g.listen == null ? "-" : gateway.address()});
     }
 
@@ -126,15 +128,17 @@
     private void forward(FarRouter to, Sent s) {
         Query q = s.segment().query();
         NearPart p = new NearPart(s, loop.now(), s.until, s.call.node.cell,
-                q.index.effect == Index.Effect.IDEMPOTENT, s.segment().id, names.get(q.index), s.segment().shard,
+                q.index.effect == Index.Effect.IDEMPOTENT, s.segment().id, names.get(q.index),
+                s.segment().shard,
                 q.key, q.text, q.repeat, effectUntil(s));
         s.giveUp = () -> gateway.giveUp(to, p);
         gateway.send(to, p);
     }
 
     /**
-     * Danger: a fingerprinted part that a line holds back until its key's window has passed has its effect again.
-     * The window is that of the first call that may have run, this one too: what comes later must not be first.
+     * Danger: a fingerprinted part that a line holds back until its key's window has passed has its effect
+     * again. The window is that of the first call that may have run, this one too: what comes later must not
+     * be first.
      */
     private static long effectUntil(Sent s) {
         Index x = s.segment().lookup.index;
--- a/src/main/java/tinlink/start/GatewayStart.java
+++ b/src/main/java/tinlink/start/GatewayStart.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What the links with other sites are started with: the file that NODE_GATEWAY or {@code --gateway} names. */
+/**
+ * What the links with other sites are started with: the file that NODE_GATEWAY or {@code --gateway} names.
+ */
 public final class GatewayStart {
     private static final int LEAST_KEY = 16;
     /** A text on the line has a length of one byte; half of that is enough for a name. */
--- a/src/main/java/tinlink/start/JsonFile.java
+++ b/src/main/java/tinlink/start/JsonFile.java
@@ -16,8 +16,8 @@
 import java.util.Set;
 
 /**
- * A file of settings: JSON with comments, trailing commas, single quotes and bare keys. Every key is asked for or
- * refused; a message names the file, the key and what is allowed.
+ * A file of settings: JSON with comments, trailing commas, single quotes and bare keys. Every key is asked
+ * for or refused; a message names the file, the key and what is allowed.
  */
 public final class JsonFile {
     private static final long MOST_BYTES = 1 << 20;
@@ -58,7 +58,8 @@
             }
             return new JsonFile(file, "", node);
         } catch (JsonProcessingException e) {
-            throw new BadInput(file + ": line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": "
+            throw new BadInput(file + ": line "
+                    + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": "
                     + e.getOriginalMessage());
         }
     }
@@ -184,7 +185,8 @@
     public void nothingElse() {
         for (String name : names()) {
             if (!asked.contains(name)) {
-                throw bad(name, "is not known here; known are " + String.join(", ", asked.stream().sorted().toList()));
+                throw bad(name, "is not known here; known are "
+                        + String.join(", ", asked.stream().sorted().toList()));
             }
         }
         within.forEach(JsonFile::nothingElse);
--- /dev/null
+++ b/src/test/java/tinlink/RoomsTest.java
@@ -0,0 +1,51 @@
+package tinlink;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Which room may use which: nothing points back up, nothing in a circle, and what decides does no I/O. */
+class RoomsTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("tinlink");
+
+    @Test
+    void arrows() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("main").definedBy("tinlink")
+                .layer("cli").definedBy("tinlink.cli")
+                .layer("lab").definedBy("tinlink.lab")
+                .layer("emulator").definedBy("tinlink.emulator")
+                .layer("router").definedBy("tinlink.router")
+                .layer("benchlink").definedBy("tinlink.benchlink")
+                .layer("gateway").definedBy("tinlink.gateway")
+                .layer("choice").definedBy("tinlink.gateway.choice")
+                .layer("start").definedBy("tinlink.start")
+                .layer("net").definedBy("tinlink.net")
+                .layer("decision").definedBy("tinlink.decision")
+                .whereLayer("main").mayNotBeAccessedByAnyLayer()
+                .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
+                .whereLayer("lab").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("emulator").mayOnlyBeAccessedByLayers("lab")
+                .whereLayer("router").mayOnlyBeAccessedByLayers("main", "lab")
+                .whereLayer("benchlink").mayOnlyBeAccessedByLayers("main")
+                .whereLayer("gateway").mayOnlyBeAccessedByLayers("router")
+                .whereLayer("choice").mayOnlyBeAccessedByLayers("gateway", "router")
+                .whereLayer("decision").mayNotAccessAnyLayer()
+                .check(ALL);
+        slices().matching("tinlink.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+
+    @Test
+    void whatDecidesDoesNoInputOrOutput() {
+        noClasses().that().resideInAnyPackage("tinlink.decision", "tinlink.gateway.choice").should()
+                .dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..",
+                "java.util.logging..",
+                        "java.util.concurrent..", "java.time..", "tinlink.net..").check(ALL);
+    }
+}
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,7 +50,8 @@
     }
 
     static List<Arguments> links() throws IOException {
-        return Stream.concat(Scenarios.sections(".far").stream(), Scenarios.sections(".taker").stream()).toList();
+        return Stream.concat(Scenarios.sections(".far").stream(),
+                Scenarios.sections(".taker").stream()).toList();
     }
 
     static List<Arguments> config() throws IOException {
@@ -104,7 +106,8 @@
     @MethodSource
     void gatewayConfig(String title, List<String> script, @TempDir Path dir) throws IOException {
         Path file = Files.writeString(dir.resolve("g"), pick(script, "> "));
-        Map<String, String> env = Map.of("NODE_CONFIG", "deploy/example.json", "NODE_GATEWAY", file.toString());
+        Map<String, String> env = Map.of("NODE_CONFIG", "deploy/example.json", "NODE_GATEWAY",
+                file.toString());
         if (pick(script, "! ").isEmpty()) {
             assertEquals(1, new RouterStart(env).gateway.far.size());
             return;
@@ -113,6 +116,13 @@
         assertEquals(pick(script, "! "), e.getMessage().replace(file.toString(), "FILE") + "\n");
     }
 
+    @Test
+    void deployedFilesAreRead() {
+        RouterStart start = new RouterStart(Map.of("NODE_CONFIG", "deploy/example.json", "NODE_GATEWAY",
+                "deploy/gateway.json5"));
+        assertEquals(List.of("w1", "w2"), start.gateway.far.stream().map(f -> f.router()).toList());
+    }
+
     /** Danger: a part call whose frame has left and that passes for one that never ran. */
     @ParameterizedTest
     @EnumSource(Ending.class)
--- a/src/test/java/tinlink/gateway/PeerTest.java
+++ b/src/test/java/tinlink/gateway/PeerTest.java
@@ -49,7 +49,8 @@
     void start() throws Exception {
         network = new Network(loop);
         gateway = new Gateway(loop, network, new Gateway.Names("west", "w1", 77, Set.of("east")), KEYS,
-                new Gateway.Times(50_000, 400_000, 1_000_000, 1_000_000), new Gateway.Bounds(8, 16, 1 << 16, 4, 4),
+                new Gateway.Times(50_000, 400_000, 1_000_000, 1_000_000),
+                new Gateway.Bounds(8, 16, 1 << 16, 4, 4),
                 List.of(), 1, new Gateway.Stages() {
                     @Override
                     public void ended(NearPart p, Outcome how, long tookUs) {
@@ -126,7 +127,8 @@
 
         byte[] frame(byte type, byte[] body) {
             byte[] seal = out == null ? new byte[0] : out.next(type, body, 0, body.length);
-            return ByteBuffer.allocate(5 + body.length + seal.length).putInt(1 + body.length + seal.length).put(type)
+            return ByteBuffer.allocate(5 + body.length + seal.length).putInt(1 + body.length
+                    + seal.length).put(type)
                     .put(body).put(seal).array();
         }
 
@@ -153,7 +155,8 @@
 
         byte[] proof() {
             byte[] next = new Wire.Out().eight(ups).eight(1).made();
-            return new Wire.Out().bytes(next).bytes(keys.proof(keyId, "near proof", hello, challenge, next)).made();
+            return new Wire.Out().bytes(next).bytes(keys.proof(keyId, "near proof", hello, challenge,
+                    next)).made();
         }
 
         void shakes() throws IOException {
@@ -169,7 +172,8 @@
             while (true) {
                 byte[] whole = next();
                 int end = whole.length - Wire.SEAL_BYTES;
-                assertArrayEquals(back.next(whole[0], whole, 1, end - 1), Arrays.copyOfRange(whole, end, whole.length));
+                assertArrayEquals(back.next(whole[0], whole, 1, end - 1),
+                        Arrays.copyOfRange(whole, end, whole.length));
                 if (whole[0] == type) {
                     return ByteBuffer.wrap(whole, 1, end - 1);
                 }
@@ -182,8 +186,10 @@
         }
 
         byte[] partBody(long number, int shard, long leftUs, long pong) {
-            return new Wire.Out().eight(number).eight(leftUs).eight(Long.MAX_VALUE).eight(pong).eight(0).four(shard)
-                    .byt(0).text("sum").text("q1." + shard).bytes("text".getBytes(StandardCharsets.UTF_8)).made();
+            return new Wire.Out().eight(number).eight(leftUs).eight(Long.MAX_VALUE).eight(pong).eight(0)
+                    .four(shard)
+                    .byt(0).text("sum").text("q1."
+                    + shard).bytes("text".getBytes(StandardCharsets.UTF_8)).made();
         }
 
         void part(long number, int shard, long leftUs, long pong) throws IOException {
@@ -290,7 +296,9 @@
         good = back;
     }
 
-    /** A message that is sent again as it was, or changed in one byte, does not have the seal of its place. */
+    /**
+     * A message that is sent again as it was, or changed in one byte, does not have the seal of its place.
+     */
     @Test
     void aReplayedOrChangedMessageEndsTheLine() throws Exception {
         for (boolean changed : new boolean[] {true, false}) {
--- a/src/test/java/tinlink/gateway/choice/ChoicePlayer.java
+++ b/src/test/java/tinlink/gateway/choice/ChoicePlayer.java
@@ -34,14 +34,16 @@
         }
     }
 
-    private static final Set<String> FAR_SIDE = Set.of("opens", "closes", "comes", "ends", "given-up", "lowest",
+    private static final Set<String> FAR_SIDE = Set.of("opens", "closes", "comes", "ends", "given-up",
+            "lowest",
             "asks", "leaves");
 
     private record Timer(long at, Runnable what) {
     }
 
     private final Map<String, Long> figures = new HashMap<>(Map.of("lines", 1L, "beat", 250L, "waiting", 2L,
-            "recover", 2000L, "trip", 100L, "running", 4L, "kept", 4L, "bytes", 1000L, "origins", 2L, "keep", 6000L));
+            "recover", 2000L, "trip", 100L, "running", 4L, "kept", 4L, "bytes", 1000L, "origins", 2L, "keep",
+            6000L));
     private final ArrayDeque<String> decided = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
     private final Map<String, Part> parts = new HashMap<>();
@@ -98,7 +100,8 @@
                     new SplittableRandom(1));
             far.clock(now);
         } else if (!near && taker == null) {
-            taker = new Taker(new Taker.Bounds((int) (long) figures.get("running"), (int) (long) figures.get("kept"),
+            taker = new Taker(new Taker.Bounds((int) (long) figures.get("running"),
+                    (int) (long) figures.get("kept"),
                     figures.get("bytes"), (int) (long) figures.get("origins"), us("keep"), us("beat")));
             taker.clock(now);
         }
@@ -184,7 +187,8 @@
                     Fate.valueOf(w[2].toUpperCase(Locale.ROOT)), w.length > 3 ? Integer.parseInt(w[3]) : 1);
             case "given-up" -> taker.givenUp(sessions.get(w[0]), Long.parseLong(w[1]));
             case "lowest" -> taker.lowest(sessions.get(w[0]), Long.parseLong(w[1]));
-            case "asks" -> taker.asked(sessions.get(w[0]), w[0], Integer.parseInt(w[1]), opens, Long.parseLong(w[2]),
+            case "asks" -> taker.asked(sessions.get(w[0]), w[0], Integer.parseInt(w[1]), opens,
+                    Long.parseLong(w[2]),
                     Arrays.stream(w).skip(3).map(Long::parseLong).collect(Collectors.toSet()));
             case "leaves" -> taker.leaves();
             default -> throw new IllegalArgumentException(what);
@@ -272,7 +276,8 @@
 
     @Override
     public void say(Object session, int line, long number, Fate fate, Taken part) {
-        decided.add("say " + session + " " + line + " " + number + " " + fate.name().toLowerCase(Locale.ROOT));
+        decided.add("say " + session + " " + line + " " + number + " "
+                + fate.name().toLowerCase(Locale.ROOT));
     }
 
     @Override
--- a/src/test/java/tinlink/gateway/choice/LossyLinesTest.java
+++ b/src/test/java/tinlink/gateway/choice/LossyLinesTest.java
@@ -16,9 +16,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Both choices against each other in simulated time, over lines that are cut, half-open, late, and a far router that
- * starts anew: whatever happens, each part ends once and in time, runs at most once, and what is said never to have
- * run never runs, then or later.
+ * Both choices against each other in simulated time, over lines that are cut, half-open, late, and a far
+ * router that starts anew: whatever happens, each part ends once and in time, runs at most once, and what is
+ * said never to have run never runs, then or later.
  */
 class LossyLinesTest {
     private static final int WINDOW = 6;
@@ -104,7 +104,8 @@
         }
     }
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at
+            ? Long.compare(a.at, b.at)
             : Long.compare(a.order, b.order));
     private final Map<Lane, Conn> conns = new HashMap<>();
     private final List<Part> parts = new ArrayList<>();
@@ -311,10 +312,12 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23,
+            24})
     void endsOnceRunsOnce(long seed) {
         random = new SplittableRandom(seed);
-        far = new FarRouter("f", 2, new FarRouter.Patience(250_000, WAITING, 1_500_000), (cell, other) -> false,
+        far = new FarRouter("f", 2, new FarRouter.Patience(250_000, WAITING, 1_500_000),
+                (cell, other) -> false,
                 random.split());
         startFar();
         event(0, () -> { });
--- a/src/test/java/tinlink/lab/RulesTest.java
+++ b/src/test/java/tinlink/lab/RulesTest.java
@@ -9,7 +9,10 @@
 import tinlink.emulator.EmulatedClient.Ask;
 import tinlink.emulator.Runs;
 
-/** Each check of the rules is shown a breach of its rule, made on purpose, and beside it the case that is none. */
+/**
+ * Each check of the rules is shown a breach of its rule, made on purpose, and beside it the case that is
+ * none.
+ */
 class RulesTest {
     private static final String V0 = Runs.value("q.0", "t");
     private static final String V1 = Runs.value("q.1", "t");
--- a/src/test/java/tinlink/lab/SitesPlayer.java
+++ b/src/test/java/tinlink/lab/SitesPlayer.java
@@ -17,15 +17,18 @@
 import tinlink.emulator.EmulatedNode;
 
 /**
- * Plays a scenario of two whole sites with real routers; docs/scenarios.md has the notation. After each one the rules
- * are checked from what the data nodes ran and the clients were told.
+ * Plays a scenario of two whole sites with real routers; docs/scenarios.md has the notation. After each one
+ * the rules are checked from what the data nodes ran and the clients were told.
  */
 final class SitesPlayer implements AutoCloseable {
     private static final int PATIENCE_MS = 10_000;
     private static final Map<String, Load.Kind> KINDS = Map.of(
-            "find", new Load.Kind("find", false, false, 0, 0.3), "sum", new Load.Kind("sum", false, false, 0, 1),
-            "pay", new Load.Kind("pay", true, false, 400_000, 1), "once", new Load.Kind("once", false, true, 0, 1));
-    private final Map<String, String> figures = new HashMap<>(Map.of("delay", "10", "jitter", "0", "lines", "1",
+            "find", new Load.Kind("find", false, false, 0, 0.3), "sum",
+            new Load.Kind("sum", false, false, 0, 1),
+            "pay", new Load.Kind("pay", true, false, 400_000, 1), "once",
+            new Load.Kind("once", false, true, 0, 1));
+    private final Map<String,
+            String> figures = new HashMap<>(Map.of("delay", "10", "jitter", "0", "lines", "1",
             "routers", "2", "gateway", "heartbeat_ms: 40, recover_ms: 1500", "queue", "64", "cores", "4"));
     private final Map<String, Load.Asked> asked = new LinkedHashMap<>();
     private final Map<String, EmulatedClient.Asked> clients = new HashMap<>();
@@ -53,7 +56,8 @@
         Thread.sleep(100); // What breaks a rule after a final answer comes now.
         Rules rules = new Rules();
         world.ground.run(() -> rules.check(List.copyOf(asked.values()), world.runs));
-        assertEquals("[] [] [] []", rules.lost + " " + rules.late + " " + rules.repeated + " " + rules.dishonest,
+        assertEquals("[] [] [] []", rules.lost + " " + rules.late + " " + rules.repeated + " "
+                + rules.dishonest,
                 "lost, late, repeated, dishonest");
         for (TwoSites.Running r : world.routers.values()) {
             assertEquals(0, r.clients.stray(), "said after the final answer");
@@ -106,13 +110,16 @@
                 asked.get(w[1]).gone = true;
                 clients.get(w[1]).leave();
             }
-            case "line" -> world.lines.entrySet().stream().filter(e -> e.getKey().matches(w[1].replace("*", ".*")))
+            case "line" -> world.lines.entrySet().stream().filter(e ->
+                    e.getKey().matches(w[1].replace("*", ".*")))
                     .forEach(e -> say(e.getValue(), w));
             case "node" -> world.sites.values().stream().flatMap(s -> s.nodes.stream())
                     .filter(n -> n.uid.matches(w[1].replace("*", ".*"))).forEach(n -> say(n, w[2]));
             case "list" -> world.sites.values().forEach(s -> s.nodes.stream()
-                    .filter(n -> n.uid.matches(w[1].replace("*", ".*"))).forEach(n -> s.discovery.tell(n, s.name, w[2])));
-            case "ran" -> until(() -> world.ground.on(() -> world.runs.of(w[1]).size()) == Integer.parseInt(w[2]),
+                    .filter(n -> n.uid.matches(w[1].replace("*", ".*"))).forEach(n ->
+                            s.discovery.tell(n, s.name, w[2])));
+            case "ran" -> until(() ->
+                    world.ground.on(() -> world.runs.of(w[1]).size()) == Integer.parseInt(w[2]),
                     "ran " + world.ground.on(() -> world.runs.of(w[1]).size()) + " times");
             case "count" -> until(() -> world.routers.get(w[1]).count(w[2]) >= Long.parseLong(w[3]),
                     w[2] + " of " + world.routers.get(w[1]).count(w[2]));
@@ -144,8 +151,7 @@
         world = new TwoSites(new TwoSites.Plan(cells, 6, Integer.parseInt(figures.get("routers")),
                 Integer.parseInt(figures.get("lines")), way, way, new EmulatedNode.Work(Integer.parseInt(
                 figures.get("cores")), Integer.parseInt(figures.get("queue")), 3000, 0.1),
-                "\"tryLimit\":3,\"secondCopies\":true,\"cancel\":true,\"retryAfter\":true,\"maxRetryAfterMs\":1000,"
-                + "\"openCap\":500,\"connectTimeoutMs\":250,\"connIdleMs\":30000,\"streamsPerConn\":100",
+                TwoSites.LIMITS,
                 profile("find", "pure") + "," + profile("sum", "pure") + "," + profile("pay", "token") + ","
                 + profile("once", "side_effect"),
                 "\"completeFrom\":[1,1,1,1],\"minShare\":[0.3,1,1,1],\"incompleteWorth\":[0.5,0,0,0]",
@@ -161,8 +167,10 @@
     private void ask(String[] w) {
         Load.Kind kind = KINDS.get(w[2]);
         TwoSites.Running at = world.routers.get(w[5]);
-        List<Integer> shards = new ArrayList<>(Arrays.stream(w[4].split(",")).map(Integer::parseInt).toList());
-        Load.Asked a = new Load.Asked(new EmulatedClient.Ask(w[1], w[2], Long.parseLong(w[3]), shards, "t" + w[1],
+        List<Integer> shards = new ArrayList<>(Arrays.stream(w[4].split(","))
+                .map(Integer::parseInt).toList());
+        Load.Asked a = new Load.Asked(new EmulatedClient.Ask(w[1], w[2], Long.parseLong(w[3]), shards,
+                "t" + w[1],
                 kind.keyed() ? "k" + w[1] : null), kind, at, false);
         asked.put(w[1], a);
         clients.put(w[1], world.ground.on(() -> {
--- a/src/test/java/tinlink/lab/SitesTest.java
+++ b/src/test/java/tinlink/lab/SitesTest.java
@@ -18,7 +18,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import tinlink.Scenarios;
 
-/** Two whole sites, real routers between emulated servers: what the gateway promises, with its failures caused. */
+/**
+ * Two whole sites, real routers between emulated servers: what the gateway promises, with its failures
+ * caused.
+ */
 class SitesTest {
     private static final Logger LOG = Logger.getLogger("tinlink");
 
@@ -40,7 +43,10 @@
         }
     }
 
-    /** A line that is cut after so many bytes, there or back: before a part's message, in it, after it, in its answer. */
+    /**
+     * A line that is cut after so many bytes, there or back: before a part's message, in it, after it, in its
+     * answer.
+     */
     @ParameterizedTest(name = "{0}, {1}")
     @CsvSource({"once, there", "once, back", "pay, there", "pay, back", "sum, there", "sum, back"})
     @Timeout(120)
