--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -1,6 +1,14 @@
 package tinlink;
 
 import java.io.IOException;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
@@ -23,16 +31,50 @@
     }
 
     public static void main(String[] args) {
-        // Danger: the platform's starts are on part of a core; what is loaded for arguments costs them
-        // nothing.
         String command = args.length == 1 ? args[0] : "";
+        boolean plain = System.getenv("NODE_GATEWAY") == null;
         switch (command) {
             case "benchlink" -> System.exit(new BenchLink(System.in, System.out, System.err).run());
-            case "serve", "warm" -> exit(serve(System.getenv(), command.equals("serve")));
-            default -> exit(Commands.run(env -> serve(env, true), args));
+            case "warm" -> exit(serve(System.getenv(), false));
+            case "serve" -> exit(plain ? serve(System.getenv(), true) : withLibraries(args));
+            default -> exit(withLibraries(args));
         }
     }
 
+    /**
+     * Danger: libraries that the jar's manifest names are looked at by each start, which costs those of the
+     * platform 20 ms and a megabyte that they have no use for. So they get a loader of their own, and with
+     * them the whole program once more.
+     */
+    private static int withLibraries(String[] args) {
+        try {
+            Path jar = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            Path lib = jar.resolveSibling("lib");
+            if (!Files.isRegularFile(jar) || !Files.isDirectory(lib)) {
+                return command(args); // Not from a jar: whoever started it has them on its class path.
+            }
+            List<URL> urls = new ArrayList<>(List.of(jar.toUri().toURL()));
+            try (DirectoryStream<Path> all = Files.newDirectoryStream(lib, "*.jar")) {
+                for (Path one : all) {
+                    urls.add(one.toUri().toURL());
+                }
+            }
+            ClassLoader loader = new URLClassLoader(urls.toArray(URL[]::new),
+                    ClassLoader.getPlatformClassLoader());
+            Thread.currentThread().setContextClassLoader(loader);
+            return (int) loader.loadClass(Main.class.getName()).getMethod("command", String[].class)
+                    .invoke(null, (Object) args);
+        } catch (IOException | URISyntaxException | ReflectiveOperationException e) {
+            System.err.println("the libraries beside the jar can't be used: " + e);
+            return 1;
+        }
+    }
+
+    /** With the libraries at hand: the commands that need them. */
+    public static int command(String[] args) {
+        return Commands.run(env -> serve(env, true), args);
+    }
+
     private static void exit(int status) {
         if (status != SERVED) {
             System.exit(status);
