--- a/src/main/java/tinlink/emulator/EmulatedLine.java
+++ b/src/main/java/tinlink/emulator/EmulatedLine.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.HdrHistogram.Histogram;
 import tinlink.net.Ending;
 import tinlink.net.Link;
 import tinlink.net.Network;
@@ -39,6 +40,8 @@
     /** It is cut once so many more bytes have gone there, or back; below 0 not at all. */
     private long cutAfterThere = -1;
     private long cutAfterBack = -1;
+    private final Histogram timesThere = new Histogram(60_000_000, 3);
+    private final Histogram timesBack = new Histogram(60_000_000, 3);
 
     public EmulatedLine(Ground ground, Way there, Way back, long seed) throws IOException {
         this.ground = ground;
@@ -53,6 +56,14 @@
         return address;
     }
 
+    /** What it has cost bytes to cross, each way, since it was made; with what went before them. */
+    public void addTimes(Histogram there, Histogram back) {
+        ground.run(() -> {
+            there.add(timesThere);
+            back.add(timesBack);
+        });
+    }
+
     /** Where it leads from now on. */
     public void to(InetSocketAddress where) {
         ground.run(() -> to = where);
@@ -225,7 +236,11 @@
                     + (w.bytesPerS() > 0 ? 1_000_000L * bytes / w.bytesPerS() : 0);
             freeThere = there ? at : freeThere;
             freeBack = there ? freeBack : at;
+            long from = ground.now();
             ground.at(at, () -> {
+                if (bytes > 0) {
+                    (there ? timesThere : timesBack).recordValue(Math.min(ground.now() - from, 59_000_000));
+                }
                 if (!over) {
                     what.run();
                 }
--- a/src/main/java/tinlink/gateway/FarSession.java
+++ b/src/main/java/tinlink/gateway/FarSession.java
@@ -75,6 +75,7 @@
         hello = java.util.Arrays.copyOfRange(whole, 1, in.position());
         challenge = new Wire.Out().two(Wire.VERSION).text(gateway.names.site()).text(gateway.names.router())
                 .eight(gateway.names.incarnation()).bytes(gateway.nonce()).made();
+        within(gateway.times.handshakeUs()); // Its proof is a round trip away, however long the line is.
         send(Wire.CHALLENGE, new Wire.Out().bytes(challenge)
                 .bytes(gateway.keys.proof(keyId, "far proof", hello, challenge)).made());
     }
--- a/src/main/java/tinlink/gateway/Session.java
+++ b/src/main/java/tinlink/gateway/Session.java
@@ -35,6 +35,12 @@
 
     void on(Link link, long handshakeUs) {
         this.link = link;
+        within(handshakeUs);
+    }
+
+    /** The next message of the handshake has to come within that time. */
+    void within(long handshakeUs) {
+        loop.takeBack(limit);
         limit = loop.at(loop.now() + handshakeUs, () -> link.end(Ending.NOT_UP));
     }
 
--- a/src/main/java/tinlink/lab/GatewayLab.java
+++ b/src/main/java/tinlink/lab/GatewayLab.java
@@ -44,6 +44,12 @@
         final Histogram all = new Histogram(60_000_000, 3);
         final Histogram near = new Histogram(60_000_000, 3);
         final Histogram far = new Histogram(60_000_000, 3);
+        /** The same of lookups of one part. */
+        final Histogram oneNear = new Histogram(60_000_000, 3);
+        final Histogram oneFar = new Histogram(60_000_000, 3);
+        /** What bytes took on the lines, each way. */
+        final Histogram there = new Histogram(60_000_000, 3);
+        final Histogram back = new Histogram(60_000_000, 3);
         int lookups;
         int whole;
         int partial;
@@ -81,8 +87,8 @@
                 + BUDGET_MS + ",\"windowMs\":" + windowMs + ",\"worth\":1,\"lateWorth\":0.3}";
     }
 
-    private TwoSites world(boolean fates) throws IOException, InterruptedException {
-        EmulatedLine.Way way = new EmulatedLine.Way(1000 * delayMs, 100 * delayMs, 2_000_000);
+    private TwoSites world(boolean fates, boolean jitter) throws IOException, InterruptedException {
+        EmulatedLine.Way way = new EmulatedLine.Way(1000 * delayMs, jitter ? 100 * delayMs : 0, 2_000_000);
         return new TwoSites(new TwoSites.Plan(Map.of("east", List.of(0, 0, 1, 1, 2, 2, 3, 3),
                 "west", List.of(2, 2, 3, 3, 4, 4, 5, 5)), 6, 2, 1, way, way,
                 new EmulatedNode.Work(4, 64, 4000, 0.5),
@@ -108,7 +114,10 @@
                 Map.of("calm, near", calm.near, "calm, far", calm.far, "trouble, near", fates.near,
                 "trouble, far",
                         fates.far));
-        double hop = calm.ms(calm.far, 50) - calm.ms(calm.near, 50) - 2 * (delayMs + delayMs / 20.0);
+        // Lookups of one part, near and far, without jitter, which would cover what is looked for. The line's
+        // own time is what the emulated lines measured, with what waits in them.
+        double hop = calm.ms(calm.oneFar, 50) - calm.ms(calm.oneNear, 50) - calm.ms(calm.there, 50)
+                - calm.ms(calm.back, 50);
         double nearRatio = fates.ms(fates.near, 99) / calm.ms(calm.near, 99);
         double share = fates.unsure == 0 ? 1 : (double) fates.recovered / fates.unsure;
         System.out.printf(Locale.ROOT,
@@ -149,7 +158,7 @@
     private Side side(String name, double seconds, boolean trouble, boolean fates)
             throws IOException, InterruptedException {
         Side side = new Side(name);
-        try (TwoSites world = world(fates)) {
+        try (TwoSites world = world(fates, trouble)) {
             world.joined(10_000);
             // Code that runs for the first time is slow: some lookups go before what counts.
             Load warm = new Load(world);
@@ -168,6 +177,7 @@
             List<Load.Asked> all = load.asked(any);
             world.ground.run(() -> side.rules.check(all, world.runs));
             sum(side, all);
+            world.lines.values().forEach(l -> l.addTimes(side.there, side.back));
             for (TwoSites.Running r : world.routers.values()) {
                 side.stray += r.clients.stray();
                 for (String end : List.of("done", "failed", "refused", "never_begun", "never_left")) {
@@ -199,6 +209,9 @@
                 long us = Math.max(1, Math.min(a.tookUs(), 59_000_000));
                 s.all.recordValue(us);
                 (a.near ? s.near : s.far).recordValue(us);
+                if (a.ask.shards().size() == 1) {
+                    (a.near ? s.oneNear : s.oneFar).recordValue(us);
+                }
             }
         }
     }
