HTTP/2 towards data nodes: frames, streams, pool and emulated nodes, off without its file

Cause: connection counts rise with the lookups; nodes that offer HTTP/2 could take many parts on few connections. Change: tinlink.http2 with an engine free of sockets, a choice of connections free of I/O, the mapping of part calls, fallback to frames; PartSends is the door to frames, streams and other sites; emulated nodes speak both. An emulated line that is mended forgets cuts that were still to come, which had made one test fail.

--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -32,7 +32,7 @@
 
     public static void main(String[] args) {
         String command = args.length == 1 ? args[0] : "";
-        boolean plain = System.getenv("NODE_GATEWAY") == null;
+        boolean plain = System.getenv("NODE_GATEWAY") == null && System.getenv("NODE_HTTP2") == null;
         switch (command) {
             case "benchlink" -> System.exit(new BenchLink(System.in, System.out, System.err).run());
             case "warm" -> exit(serve(System.getenv(), false));
--- a/src/main/java/tinlink/cli/Commands.java
+++ b/src/main/java/tinlink/cli/Commands.java
@@ -53,7 +53,10 @@
     int serve(@Option(names = "--config", paramLabel = "FILE", description = "as NODE_CONFIG") String config,
               @Option(names = "--gateway", paramLabel = "FILE",
               description = "links with other sites, as NODE_GATEWAY")
-              String gateway) {
+              String gateway,
+              @Option(names = "--http2", paramLabel = "FILE",
+              description = "nodes over HTTP/2, as NODE_HTTP2")
+              String http2) {
         Map<String, String> env = new HashMap<>(System.getenv());
         if (config != null) {
             env.put("NODE_CONFIG", config);
@@ -61,6 +64,9 @@
         if (gateway != null) {
             env.put("NODE_GATEWAY", gateway);
         }
+        if (http2 != null) {
+            env.put("NODE_HTTP2", http2);
+        }
         return serves.serve(env);
     }
 
--- a/src/main/java/tinlink/emulator/EmulatedLine.java
+++ b/src/main/java/tinlink/emulator/EmulatedLine.java
@@ -40,6 +40,7 @@
     /** It is cut once so many more bytes have gone there, or back; below 0 not at all. */
     private long cutAfterThere = -1;
     private long cutAfterBack = -1;
+    private long mends;
     private final Histogram timesThere = new Histogram(60_000_000, 3);
     private final Histogram timesBack = new Histogram(60_000_000, 3);
 
@@ -96,6 +97,9 @@
     public void mend() {
         ground.run(() -> {
             cut = false;
+            cutAfterThere = -1;
+            cutAfterBack = -1;
+            mends++;
             boolean was = silentThere || silentBack;
             silentThere = false;
             silentBack = false;
@@ -219,7 +223,12 @@
                     cutAfterThere = -1;
                     cutAfterBack = -1;
                     cut = true;
-                    later(there, 0, EmulatedLine.this::cutNow); // Once what came before has arrived.
+                    long before = mends;
+                    later(there, 0, () -> { // Once what came before has arrived.
+                        if (mends == before) {
+                            cutNow();
+                        }
+                    });
                 }
             }
         }
--- a/src/main/java/tinlink/emulator/EmulatedNode.java
+++ b/src/main/java/tinlink/emulator/EmulatedNode.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.apache.commons.statistics.distribution.LogNormalDistribution;
 import tinlink.net.Ending;
 import tinlink.net.Link;
@@ -37,7 +38,7 @@
     private final Work work;
     private final LogNormalDistribution times;
     private final SplittableRandom random;
-    private final Set<Caller> callers = new HashSet<>();
+    private final Set<Door> doors = new HashSet<>();
     private final ArrayDeque<Job> queue = new ArrayDeque<>();
     /** Parts that it has begun and, stalled, does not go on with. */
     private final List<Job> held = new ArrayList<>();
@@ -47,7 +48,31 @@
     private int busy;
     private long life;
 
-    private record Job(Caller from, String id, String key, String text) {
+    record Job(Caller from, String id, String key, String text) {
+    }
+
+    /** A connection by which parts come, whatever it speaks. */
+    interface Caller extends Link.Owner {
+        void answer(Job j, String end, String value);
+
+        Link link();
+    }
+
+    /** How it behaves as a server of HTTP/2; it takes either protocol at its one address. */
+    public final Http2Ways http2 = new Http2Ways();
+
+    /** Figures that may be changed at any time, on the emulation's thread. */
+    public static final class Http2Ways {
+        /** It takes HTTP/2 at all. */
+        public boolean spoken = true;
+        /** Streams at a time; below 0 it does not say. */
+        public long streams = 100;
+        public int firstWindow = 65_535;
+        /** Windows are given back as they are used. */
+        public boolean givesBack = true;
+        /** The next so many requests are refused, or reset once they have run, instead of answered. */
+        public int refuses;
+        public int resets;
     }
 
     EmulatedNode(Ground ground, Runs runs, String uid, int cell, Work work, long seed) throws IOException {
@@ -58,7 +83,7 @@
         this.work = work;
         times = LogNormalDistribution.of(Math.log(work.medianUs()), work.sigma());
         random = new SplittableRandom(seed);
-        listening = ground.listen(Ground.loopback(0), Caller::new);
+        listening = ground.listen(Ground.loopback(0), Door::new);
         address = listening.address();
     }
 
@@ -85,7 +110,7 @@
             queue.clear();
             held.clear();
             busy = 0;
-            List.copyOf(callers).forEach(c -> c.link.end(Ending.DONE));
+            List.copyOf(doors).forEach(d -> d.link.end(Ending.DONE));
         });
     }
 
@@ -93,7 +118,7 @@
     public void live() {
         ground.run(() -> {
             try {
-                listening = ground.listen(address, Caller::new);
+                listening = ground.listen(address, Door::new);
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
@@ -138,22 +163,111 @@
     }
 
     private static void answer(Job j, String end, String value) {
-        if (!j.from.link.isOver()) {
-            j.from.frame('Y', j.id + " " + end + " 1 -\n" + value);
+        if (!j.from.link().isOver()) {
+            j.from.answer(j, end, value);
         }
     }
 
-    /** A router's connection. */
-    private final class Caller implements Ground.Owner {
+    // ---- For connections. ----
+
+    /** Changes how it behaves over HTTP/2. */
+    public void http2(Consumer<Http2Ways> change) {
+        ground.run(() -> {
+            long before = http2.streams;
+            change.accept(http2);
+            if (http2.streams != before) {
+                doors.stream().filter(d -> d.as instanceof Http2Caller)
+                        .forEach(d -> ((Http2Caller) d.as).streams((int) http2.streams));
+            }
+        });
+    }
+
+    boolean isSilent() {
+        return mood == Mood.STALLED;
+    }
+
+    /** Whether that part has begun to run. */
+    boolean begun(Caller from, String id) {
+        return queue.stream().noneMatch(j -> j.from == from && j.id.equals(id)) && !runs.of(id).isEmpty();
+    }
+
+    void came(Job j) {
+        take(j);
+    }
+
+    void dropped(Caller from, String id) {
+        queue.removeIf(j -> j.from == from && (id == null || j.id.equals(id)));
+    }
+
+    /** Whoever connects: HTTP/2 begins with its preface, a frame's length with a zero byte. */
+    private final class Door implements Ground.Owner {
         private Link link;
+        private Caller as;
+
+        @Override
+        public void on(Link link) {
+            this.link = link;
+            doors.add(this);
+        }
+
+        @Override
+        public void arrived(Ring in) {
+            if (as == null && in.size() > 0) {
+                as = in.peek() == 'P' && http2.spoken ? new Http2Caller(EmulatedNode.this, link)
+                        : new FrameCaller(link);
+            }
+            if (as != null) {
+                as.arrived(in);
+            }
+        }
+
+        @Override
+        public void ended(Ending how) {
+            doors.remove(this);
+            if (as != null) {
+                dropped(as, null);
+                as.ended(how);
+            }
+        }
+    }
+
+    /**
+     * Says goodbye on all connections by HTTP/2: nothing above what has come so far, less so many, has run.
+     */
+    public void goodbye(int less, boolean twice) {
+        ground.run(() -> {
+            for (Door d : List.copyOf(doors)) {
+                if (d.as instanceof Http2Caller c) {
+                    c.goodbye(less, twice);
+                }
+            }
+        });
+    }
+
+    /** Connections that are open now. */
+    public int connections() {
+        return ground.on(doors::size);
+    }
+
+    /** A router's connection by frames. */
+    private final class FrameCaller implements Caller {
+        private final Link link;
         private int head;
         private int length;
         private ByteBuffer frame;
 
-        @Override
-        public void on(Link link) {
+        FrameCaller(Link link) {
             this.link = link;
-            callers.add(this);
+        }
+
+        @Override
+        public Link link() {
+            return link;
+        }
+
+        @Override
+        public void answer(Job j, String end, String value) {
+            frame('Y', j.id + " " + end + " 1 -\n" + value);
         }
 
         @Override
@@ -183,7 +297,7 @@
             byte letter = f.get();
             if (letter == 'A') {
                 String id = StandardCharsets.UTF_8.decode(f).toString();
-                queue.removeIf(j -> j.from == this && j.id.equals(id));
+                dropped(this, id);
             } else if (letter == 'R') {
                 while (f.hasRemaining()) {
                     if (!part(f)) {
@@ -229,8 +343,7 @@
 
         @Override
         public void ended(Ending how) {
-            callers.remove(this);
-            queue.removeIf(j -> j.from == this);
+            // Its door forgets it.
         }
     }
 }
--- a/src/main/java/tinlink/emulator/EmulatedSite.java
+++ b/src/main/java/tinlink/emulator/EmulatedSite.java
@@ -42,12 +42,14 @@
     /**
      * Writes a router's two files into a folder.
      *
+     * @param http2 keys of deploy/http2.json5, for a router that serves its nodes by it; may be empty
      * @param gateway keys of deploy/gateway.json5 beside the names, keys and sites; may be empty
      * @return its environment
      */
     public Map<String, String> router(Path folder, String router, String listen, String gatewayListen,
             long seed,
-                                      String keys, String gateway, List<String> accepts, List<Far> far) {
+                                      String keys, String gateway,
+                                      String http2, List<String> accepts, List<Far> far) {
         Map<String, List<String>> sites = new LinkedHashMap<>();
         for (Far f : far) {
             sites.computeIfAbsent(f.site(), s -> new ArrayList<>()).add("{router: '" + f.router()
@@ -67,8 +69,15 @@
                     + (gateway.isEmpty() ? "" : gateway + ",\n")
                     + "accepts: " + accepts.stream().map(s -> "'" + s + "'").toList() + ",\nsites: " + all
                     + "}\n");
-            return Map.of("NODE_CONFIG", config.toString(), "NODE_GATEWAY", links.toString(), "NODE_LOG",
-                    "WARNING");
+            Map<String, String> env = new LinkedHashMap<>(Map.of("NODE_CONFIG", config.toString(),
+                    "NODE_GATEWAY", links.toString(), "NODE_LOG",
+                    "WARNING"));
+            if (!http2.isEmpty()) {
+                env.put("NODE_HTTP2",
+                        Files.writeString(folder.resolve(router + "-http2.json5"), "{" + http2 + "}")
+                        .toString());
+            }
+            return env;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import tinlink.gateway.choice.Lane;
 import tinlink.gateway.choice.Taken;
 import tinlink.gateway.choice.Taker;
+import tinlink.net.Counters;
 import tinlink.net.Ending;
 import tinlink.net.Link;
 import tinlink.net.Loop;
--- a/src/main/java/tinlink/gateway/NearSession.java
+++ b/src/main/java/tinlink/gateway/NearSession.java
@@ -118,7 +118,8 @@
         LOG.log(was ? Level.WARNING : Level.FINE,
                 "event=line_down site={0} router={1} line={2} how={3} open={4}",
                 new Object[] {site, lane.router.name, lane.index, how, lane.open().size()});
-        gateway.counters.add("near_lines_" + how.name().toLowerCase(java.util.Locale.ROOT));
+        gateway.counters.add(was ? "near_lines_" + how.name().toLowerCase(java.util.Locale.ROOT)
+                : "near_not_up");
         lane.router.lost(lane, p -> link.left(((NearPart) p).place));
     }
 
--- a/src/main/java/tinlink/gateway/choice/Forwarded.java
+++ b/src/main/java/tinlink/gateway/choice/Forwarded.java
@@ -34,6 +34,11 @@
         this.repeatable = repeatable;
     }
 
+    /** It has not been handed to a line. */
+    public boolean waits() {
+        return state == State.WAITS;
+    }
+
     /** Its line was cut while it was out, and nobody could tell at once whether it ran. */
     public boolean wasUnsure() {
         return unsureSince > 0;
--- /dev/null
+++ b/src/main/java/tinlink/http2/H2.java
@@ -0,0 +1,48 @@
+package tinlink.http2;
+
+import java.nio.charset.StandardCharsets;
+
+/** The numbers of RFC 9113. */
+final class H2 {
+    static final int DATA = 0;
+    static final int HEADERS = 1;
+    static final int PRIORITY = 2;
+    static final int RST_STREAM = 3;
+    static final int SETTINGS = 4;
+    static final int PUSH_PROMISE = 5;
+    static final int PING = 6;
+    static final int GOAWAY = 7;
+    static final int WINDOW_UPDATE = 8;
+    static final int CONTINUATION = 9;
+
+    static final int END_STREAM = 1;
+    static final int ACK = 1;
+    static final int END_HEADERS = 4;
+    static final int PADDED = 8;
+    static final int WITH_PRIORITY = 32;
+
+    static final int HEADER_TABLE_SIZE = 1;
+    static final int ENABLE_PUSH = 2;
+    static final int MAX_CONCURRENT_STREAMS = 3;
+    static final int INITIAL_WINDOW_SIZE = 4;
+    static final int MAX_FRAME_SIZE = 5;
+    static final int MAX_HEADER_LIST_SIZE = 6;
+
+    /** Why a stream or a connection ends, by the code that says so. */
+    enum Code {
+        NO_ERROR, PROTOCOL_ERROR, INTERNAL_ERROR, FLOW_CONTROL_ERROR, SETTINGS_TIMEOUT, STREAM_CLOSED,
+        FRAME_SIZE_ERROR, REFUSED_STREAM, CANCEL, COMPRESSION_ERROR, CONNECT_ERROR, ENHANCE_YOUR_CALM,
+        INADEQUATE_SECURITY, HTTP_1_1_REQUIRED
+    }
+
+    static final byte[] PREFACE = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    static final int HEAD = 9;
+    static final int LEAST_FRAME = 1 << 14;
+    static final int MOST_FRAME = (1 << 24) - 1;
+    static final int FIRST_WINDOW = 65_535;
+    static final long MOST_WINDOW = Integer.MAX_VALUE;
+    static final int MOST_ID = Integer.MAX_VALUE;
+
+    private H2() {
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/http2/Stream.java
@@ -0,0 +1,37 @@
+package tinlink.http2;
+
+import java.io.ByteArrayOutputStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** One request and its answer. Fields only; the engine keeps its notes here. */
+final class Stream {
+    /** Whatever the request is to whoever made it. */
+    final Object call;
+    final int id;
+    /** What of the request has not been put into a frame yet. */
+    byte[] body;
+    int bodySent;
+    /** How much of it the other side takes; may be below 0 once its settings have changed. */
+    long window;
+    /** How much of the answer we still take. */
+    long takes;
+    /** Nobody hears of it any more, but it counts against the node's limit until it has ended there. */
+    boolean abandoned;
+    int status;
+    long declared = -1;
+    final ByteArrayOutputStream value = new ByteArrayOutputStream();
+    final Map<String, String> fields = new LinkedHashMap<>();
+    final Map<String, String> trailers = new LinkedHashMap<>();
+
+    Stream(Object call, int id, byte[] body) {
+        this.call = call;
+        this.id = id;
+        this.body = body;
+    }
+
+    /** All of the request is in frames. */
+    boolean said() {
+        return bodySent == body.length;
+    }
+}
--- a/src/main/java/tinlink/lab/Emulation.java
+++ b/src/main/java/tinlink/lab/Emulation.java
@@ -71,6 +71,7 @@
                 profile("search", "pure") + "," + profile("book", "token") + ","
                 + profile("charge", "side_effect"),
                 "\"completeFrom\":[0.67,1,1],\"minShare\":[0.3,1,1],\"incompleteWorth\":[0.5,0,0]", "",
+                f.text("http2", ""),
                 f.whole("port", 8080, 0, 65_000), f.whole("seed", 1, 0, Integer.MAX_VALUE));
         f.nothingElse();
         return plan;
--- a/src/main/java/tinlink/lab/GatewayLab.java
+++ b/src/main/java/tinlink/lab/GatewayLab.java
@@ -95,7 +95,7 @@
                 TwoSites.LIMITS,
                 PROFILES, "\"completeFrom\":[1,1,1,1],\"minShare\":[0.3,1,1,1],"
                 + "\"incompleteWorth\":[0.5,0,0,0]",
-                fates ? "recover_ms: 2500" : "recover_ms: 0", 0, seed));
+                fates ? "recover_ms: 2500" : "recover_ms: 0", "", 0, seed));
     }
 
     /** @return whether the rules were kept and all that must be shown was shown */
--- a/src/main/java/tinlink/lab/TwoSites.java
+++ b/src/main/java/tinlink/lab/TwoSites.java
@@ -25,6 +25,7 @@
 public final class TwoSites implements AutoCloseable {
     /**
      * @param cells of each site, by its name; @param lines from each router to each of the other site's
+     * @param http2 keys of each router's http2 file, as JSON5; empty: data nodes are served by frames
      * @param gateway further keys of each router's gateway file, as JSON5; may be empty
      * @param firstPort where the first router listens; 0 for any
      */
@@ -32,7 +33,7 @@
             EmulatedLine.Way there,
                        EmulatedLine.Way back, EmulatedNode.Work work, String limits, String profiles,
                        String info,
-                       String gateway, int firstPort, long seed) {
+                       String gateway, String http2, int firstPort, long seed) {
     }
 
     /** One router and what belongs to it. */
@@ -162,7 +163,8 @@
             }
             near.env = near.site.router(folder, near.name, "127.0.0.1:" + near.port, "127.0.0.1:0", seed++,
                     KEYS,
-                    plan.gateway(), names.stream().filter(n -> !n.equals(near.site.name)).toList(), far);
+                    plan.gateway(), plan.http2(),
+                    names.stream().filter(n -> !n.equals(near.site.name)).toList(), far);
         }
         for (Running r : routers.values()) {
             r.start();
--- a/src/main/java/tinlink/gateway/Counters.java
+++ b/src/main/java/tinlink/net/Counters.java
@@ -1,13 +1,13 @@
-package tinlink.gateway;
+package tinlink.net;
 
 import java.util.Map;
 import java.util.TreeMap;
 
-/** What a gateway has done, by standard names; the names are fixed in the code, so the table is bounded. */
+/** What a subsystem has done, by standard names; the names are fixed in the code, so the table is bounded. */
 public final class Counters {
     private final Map<String, Long> counts = new TreeMap<>();
 
-    void add(String name) {
+    public void add(String name) {
         counts.merge(name, 1L, Long::sum);
     }
 
--- a/src/main/java/tinlink/net/Loop.java
+++ b/src/main/java/tinlink/net/Loop.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -63,6 +65,13 @@
         ready.add(what);
     }
 
+    /** From another thread: what this gives on the loop's own; null where the loop has ended. */
+    public <T> T ask(Supplier<T> what) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        ready.add(() -> answer.complete(what.get()));
+        return answer.completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
+    }
+
     public Timer at(long us, Runnable what) {
         Timer t = new Timer(us, timersSet++, what);
         timers.add(t);
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -25,6 +25,7 @@
     private final ModuleTurn turn;
     private final RouterStart.Links links;
     private final long idleUs;
+    private final StreamSends streams;
     private Intake intake;
     /** Nodes on the list, and those off it with connections; each leaves when it is neither. */
     private final Map<DataNode, Target> targets = new IdentityHashMap<>();
@@ -41,6 +42,20 @@
         // Danger: what is written after the node's machine has closed ends as a reset. Ours closes first, by
         // as much as a connect may take: no message is under way for longer.
         idleUs = Math.max(links.idleUs() / 2, links.idleUs() - links.connectUs());
+        streams = new StreamSends(loop, network, this, links, idleUs);
+    }
+
+    /** A descriptor for one more connection to a data node; an idle client's gives way to it. */
+    boolean mayOpen() {
+        return descriptors.hasForNode() || intake.closeIdle();
+    }
+
+    Descriptors descriptors() {
+        return descriptors;
+    }
+
+    StreamSends streams() {
+        return streams;
     }
 
     void serves(Intake intake) {
@@ -79,11 +94,13 @@
             l.dropStale();
             endUnused(l, l.endsUnused());
         }
+        streams.changed(t, moved);
         forgetIfGone(t);
     }
 
-    private void forgetIfGone(Target t) {
-        if (t.node.state == DataNode.State.GONE && t.links.isEmpty()) {
+    void forgetIfGone(Target t) {
+        if (t.node.state == DataNode.State.GONE && t.links.isEmpty()
+                && (t.streams == null || t.streams.isEmpty())) {
             targets.remove(t.node);
         }
     }
@@ -99,6 +116,16 @@
             return;
         }
         s.limit = loop.at(until, () -> unanswered(s));
+        if (streams.offered(t)) {
+            streams.send(t, s);
+            return;
+        }
+        byFrames(s);
+    }
+
+    /** With others of this turn that the module lets travel together. */
+    void byFrames(Sent s) {
+        PartCall call = s.call;
         Bundle b = bundles.computeIfAbsent(call.shared, x -> new Bundle());
         if (b.sent.isEmpty()) {
             leaving.add(b);
@@ -106,16 +133,13 @@
         b.sent.add(s);
         b.open++;
         s.bundle = b;
+        s.by = b;
     }
 
     void cancel(PartCall call) {
         Sent s = ((Segment) call.part).sent.get(call.number);
-        if (!s.over && s.giveUp != null) {
-            s.over = true;
-            s.giveUp.run();
-            turn.outcome(s, Outcome.CANCELLED);
-        } else if (!s.over) {
-            over(s, s.bundle.waits() ? Outcome.NOT_SENT : Outcome.CANCELLED, true);
+        if (!s.over) {
+            over(s, s.by.waits() ? Outcome.NOT_SENT : Outcome.CANCELLED, true);
         }
     }
 
@@ -125,10 +149,16 @@
                 l.end(Ending.RELEASED);
             }
         }
+        streams.release(target(node));
     }
 
     /** Puts this turn's frames on connections. */
     void depart() {
+        departFrames();
+        streams.depart();
+    }
+
+    void departFrames() {
         for (Bundle b : leaving) {
             if (b.open > 0) {
                 place(b);
@@ -162,7 +192,7 @@
     }
 
     private NodeLink open(Target t) {
-        if (t.address == null || !descriptors.hasForNode() && !intake.closeIdle()) {
+        if (t.address == null || !mayOpen()) {
             return null;
         }
         NodeLink l = new NodeLink(this, t, now());
@@ -183,10 +213,8 @@
     /** The limit has passed. */
     private void unanswered(Sent s) {
         if (!s.over) {
-            boolean waits = s.bundle.waits();
-            if (s.bundle.link != null) {
-                s.bundle.link.unanswered(s);
-            }
+            boolean waits = s.by.waits();
+            s.by.unanswered(s);
             over(s, waits ? Outcome.NOT_SENT : Outcome.NO_ANSWER, true);
         }
     }
@@ -196,11 +224,7 @@
         s.over = true;
         loop.takeBack(s.limit);
         s.limit = null;
-        if (s.bundle.link != null) {
-            s.bundle.link.over(s, giveUp && links.mayCancel());
-        } else {
-            s.bundle.open--;
-        }
+        s.by.over(s, giveUp && links.mayCancel());
         turn.outcome(s, how);
     }
 
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -26,6 +26,7 @@
 import tinlink.net.Protocol;
 import tinlink.net.Ring;
 import tinlink.start.Figures;
+import tinlink.start.Http2Start;
 import tinlink.start.RouterStart;
 
 /** The list of data nodes: what was known at the start, and the watch on discovery that keeps it up. */
@@ -101,6 +102,12 @@
         hears.accept(cells);
     }
 
+    /** Whether a node is of one of these kinds and zones, by their names. */
+    boolean isOf(DataNode n, List<Http2Start.Offer> offers) {
+        return offers.stream().anyMatch(o -> (o.kind() == null || kinds.of(o.kind()) == n.kind)
+                && (o.zone() == null || zones.of(o.zone()) == n.zone));
+    }
+
     /** A router of another site as the module sees it: one node a cell, of a zone and a kind of their own. */
     DataNode farNode(String site, int cell) {
         DataNode n = new DataNode(nodesSeen++);
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -24,6 +24,7 @@
     private final Network network;
     private final ModuleTurn turn;
     private final Intake intake;
+    private final PartSends sends;
     private final Roster roster;
     /** Null where there are no other sites. */
     private final SiteLinks sites;
@@ -39,8 +40,12 @@
         Stages stages = new Stages(loop, network, start, module);
         turn = stages.turn;
         intake = stages.intake;
+        sends = stages.sends;
         roster = stages.roster;
         turn.serves(stages.sends, roster::follow);
+        if (start.http2 != null) {
+            stages.sends.streams().offeredBy(start.http2, n -> roster.isOf(n, start.http2.offers));
+        }
         sites = start.gateway == null ? null : new SiteLinks(loop, network, start, stages);
     }
 
@@ -100,7 +105,7 @@
 
     /** From another thread: a counter of the links with other sites. */
     public long gatewayCount(String name) {
-        return sites.count(name);
+        return name.startsWith("http2_") ? http2Count(name) : sites.count(name);
     }
 
     /**
@@ -110,6 +115,10 @@
         return sites.farCells();
     }
 
+    private long http2Count(String name) {
+        return loop.ask(() -> sends.streams().counters().of(name));
+    }
+
     /** From another thread: ends at once, whatever is in hand. */
     public void end() {
         loop.ready(loop::end);
--- a/src/main/java/tinlink/router/Sent.java
+++ b/src/main/java/tinlink/router/Sent.java
@@ -8,10 +8,9 @@
     final PartCall call;
     final long until;
     Loop.Timer limit;
-    /** Of one that stays at this site. */
+    /** How it travels; a bundle, where by frames. */
+    Carried by;
     Bundle bundle;
-    /** Of one that goes to another site: how it is given up. */
-    Runnable giveUp;
     /** Its outcome is known. */
     boolean over;
     /** The data node has answered it. */
--- a/src/main/java/tinlink/router/SiteLinks.java
+++ b/src/main/java/tinlink/router/SiteLinks.java
@@ -6,9 +6,6 @@
 import java.util.BitSet;
 import java.util.IdentityHashMap;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import tinlink.decision.Aggregator;
@@ -82,21 +79,15 @@
 
     /** From another thread. */
     long count(String name) {
-        return ask(() -> gateway.counters().of(name));
+        return loop.ask(() -> gateway.counters().of(name));
     }
 
     /** From another thread. */
     int farCells() {
-        return ask(() -> (int) nodes.values().stream().flatMap(Arrays::stream)
+        return loop.ask(() -> (int) nodes.values().stream().flatMap(Arrays::stream)
                 .filter(n -> n != null && n.state == DataNode.State.READY).count());
     }
 
-    private <T> T ask(Supplier<T> what) {
-        CompletableFuture<T> answer = new CompletableFuture<>();
-        loop.ready(() -> answer.complete(what.get()));
-        return answer.completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
-    }
-
     Gateway gateway() {
         return gateway;
     }
@@ -131,7 +122,22 @@
                 q.index.effect == Index.Effect.IDEMPOTENT, s.segment().id, names.get(q.index),
                 s.segment().shard,
                 q.key, q.text, q.repeat, effectUntil(s));
-        s.giveUp = () -> gateway.giveUp(to, p);
+        s.by = new Carried() {
+            @Override
+            public boolean waits() {
+                return p.waits();
+            }
+
+            @Override
+            public void unanswered(Sent x) {
+                // The links keep its time themselves.
+            }
+
+            @Override
+            public void over(Sent x, boolean giveUp) {
+                gateway.giveUp(to, p);
+            }
+        };
         gateway.send(to, p);
     }
 
--- a/src/main/java/tinlink/router/Target.java
+++ b/src/main/java/tinlink/router/Target.java
@@ -5,11 +5,14 @@
 import java.util.List;
 import java.util.function.Consumer;
 import tinlink.decision.DataNode;
+import tinlink.http2.NodeStreams;
 
 /** A data node as this router reaches it: its address and the connections to it. */
 final class Target {
     final DataNode node;
     InetSocketAddress address;
+    /** Over HTTP/2; null where the node does not offer it, or nothing has gone there yet. */
+    NodeStreams streams;
     /** Takes what goes to a router of another site; null for a data node of this one. */
     Consumer<Sent> far;
     /** Open or coming up; each leaves as it ends. */
--- a/src/main/java/tinlink/start/RouterStart.java
+++ b/src/main/java/tinlink/start/RouterStart.java
@@ -46,6 +46,8 @@
     public final Names names;
     /** Clients are told to come back no later; 0 where they are told nothing. */
     public final long mostComeBackUs;
+    /** Data nodes over HTTP/2; null where there are none. */
+    public final Http2Start http2;
     /** The links with other sites; null where there are none. */
     public final GatewayStart gateway;
 
@@ -127,6 +129,8 @@
         mostComeBackUs = built.mostComeBackUs;
         cells = f.whole("familyInfo.sets", 1);
         String gatewayFile = env.getOrDefault("NODE_GATEWAY", "");
+        String http2File = env.getOrDefault("NODE_HTTP2", "");
+        http2 = http2File.isEmpty() ? null : new Http2Start(http2File);
         gateway = gatewayFile.isEmpty() ? null : new GatewayStart(gatewayFile, name);
     }
 
--- a/src/test/java/tinlink/RoomsTest.java
+++ b/src/test/java/tinlink/RoomsTest.java
@@ -17,6 +17,8 @@
     @Test
     void arrows() {
         layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("http2").definedBy("tinlink.http2")
+                .layer("http2 choice").definedBy("tinlink.http2.choice")
                 .layer("main").definedBy("tinlink")
                 .layer("cli").definedBy("tinlink.cli")
                 .layer("lab").definedBy("tinlink.lab")
@@ -36,6 +38,8 @@
                 .whereLayer("benchlink").mayOnlyBeAccessedByLayers("main")
                 .whereLayer("gateway").mayOnlyBeAccessedByLayers("router")
                 .whereLayer("choice").mayOnlyBeAccessedByLayers("gateway", "router")
+                .whereLayer("http2").mayOnlyBeAccessedByLayers("router")
+                .whereLayer("http2 choice").mayOnlyBeAccessedByLayers("http2", "router")
                 .whereLayer("decision").mayNotAccessAnyLayer()
                 .check(ALL);
         slices().matching("tinlink.(*)..").should().beFreeOfCycles().check(ALL);
@@ -43,7 +47,8 @@
 
     @Test
     void whatDecidesDoesNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("tinlink.decision", "tinlink.gateway.choice").should()
+        noClasses().that().resideInAnyPackage("tinlink.decision", "tinlink.gateway.choice",
+                "tinlink.http2.choice").should()
                 .dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..",
                 "java.util.logging..",
                         "java.util.concurrent..", "java.time..", "tinlink.net..").check(ALL);
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -402,6 +402,13 @@
         void line(String what, String rest) throws Exception {
             switch (what) {
                 case "<" -> {
+                    // The end of one connection and what comes on the next are seen by two threads.
+                    for (int i = 0; rest.equals("closed") && i < PATIENCE_MS; i++) {
+                        if (heard.remove(rest)) {
+                            return;
+                        }
+                        Thread.sleep(1);
+                    }
                     String next = heard.poll(rest.equals("nothing") ? QUIET_MS : PATIENCE_MS,
                             TimeUnit.MILLISECONDS);
                     assertEquals(rest.equals("nothing") ? null : rest, next);
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -25,6 +25,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import tinlink.benchlink.BenchLink;
 import tinlink.gateway.choice.ChoicePlayer;
+import tinlink.http2.EnginePlayer;
+import tinlink.http2.choice.PoolPlayer;
 import tinlink.net.Ending;
 import tinlink.net.ParserPlayer;
 import tinlink.start.BadInput;
@@ -49,6 +51,14 @@
         return Scenarios.sections(".gcfg");
     }
 
+    static List<Arguments> pool() throws IOException {
+        return Scenarios.sections(".pool");
+    }
+
+    static List<Arguments> http2() throws IOException {
+        return Scenarios.sections(".h2");
+    }
+
     static List<Arguments> links() throws IOException {
         return Stream.concat(Scenarios.sections(".far").stream(),
                 Scenarios.sections(".taker").stream()).toList();
@@ -68,6 +78,20 @@
         new Player().play(script);
     }
 
+    /** HTTP/2 frames of a scripted server against the client's side of a connection. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    void http2(String title, List<String> script) throws IOException {
+        new EnginePlayer().play(script);
+    }
+
+    /** Which connection over HTTP/2 a part call goes on. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    void pool(String title, List<String> script) {
+        new PoolPlayer().play(script);
+    }
+
     /** The gateway's choices, of the near side and of the far one. */
     @ParameterizedTest(name = "{0}")
     @MethodSource
--- a/src/test/java/tinlink/lab/SitesPlayer.java
+++ b/src/test/java/tinlink/lab/SitesPlayer.java
@@ -114,10 +114,14 @@
                     e.getKey().matches(w[1].replace("*", ".*")))
                     .forEach(e -> say(e.getValue(), w));
             case "node" -> world.sites.values().stream().flatMap(s -> s.nodes.stream())
-                    .filter(n -> n.uid.matches(w[1].replace("*", ".*"))).forEach(n -> say(n, w[2]));
+                    .filter(n -> n.uid.matches(w[1].replace("*", ".*"))).forEach(n -> say(n, w));
             case "list" -> world.sites.values().forEach(s -> s.nodes.stream()
                     .filter(n -> n.uid.matches(w[1].replace("*", ".*"))).forEach(n ->
                             s.discovery.tell(n, s.name, w[2])));
+            case "links" -> until(() -> world.sites.values().stream().flatMap(s -> s.nodes.stream())
+                    .filter(n -> n.uid.matches(w[1].replace("*",
+                            ".*"))).mapToInt(EmulatedNode::connections).sum()
+                    == Integer.parseInt(w[2]), "other connections");
             case "ran" -> until(() ->
                     world.ground.on(() -> world.runs.of(w[1]).size()) == Integer.parseInt(w[2]),
                     "ran " + world.ground.on(() -> world.runs.of(w[1]).size()) + " times");
@@ -155,7 +159,7 @@
                 profile("find", "pure") + "," + profile("sum", "pure") + "," + profile("pay", "token") + ","
                 + profile("once", "side_effect"),
                 "\"completeFrom\":[1,1,1,1],\"minShare\":[0.3,1,1,1],\"incompleteWorth\":[0.5,0,0,0]",
-                figures.get("gateway"), 0, 7));
+                figures.get("gateway"), figures.getOrDefault("http2", ""), 0, 7));
     }
 
     private static String profile(String name, String effect) {
@@ -209,11 +213,17 @@
         }
     }
 
-    private static void say(EmulatedNode node, String what) {
-        switch (what) {
+    private static void say(EmulatedNode node, String[] w) {
+        switch (w[2]) {
+            case "goodbye" -> node.goodbye(Integer.parseInt(w[3]), w.length > 4);
+            case "streams" -> node.http2(h -> h.streams = Integer.parseInt(w[3]));
+            case "refuses" -> node.http2(h -> h.refuses = Integer.parseInt(w[3]));
+            case "resets" -> node.http2(h -> h.resets = Integer.parseInt(w[3]));
+            case "frames" -> node.http2(h -> h.spoken = false);
+            case "window" -> node.http2(h -> h.firstWindow = Integer.parseInt(w[3]));
             case "dies" -> node.die();
             case "lives" -> node.live();
-            default -> node.mood(EmulatedNode.Mood.valueOf(what.toUpperCase(Locale.ROOT)));
+            default -> node.mood(EmulatedNode.Mood.valueOf(w[2].toUpperCase(Locale.ROOT)));
         }
     }
 
--- a/src/test/java/tinlink/net/ParserPlayer.java
+++ b/src/test/java/tinlink/net/ParserPlayer.java
@@ -153,4 +153,9 @@
     public void rejected(String words) {
         heard.add("< rejected " + words);
     }
+
+    /** Bytes as they lie in a link's ring. */
+    public static Ring ring(byte[] bytes) {
+        return new Ring(new Rings()).put(bytes);
+    }
 }
