--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -81,7 +81,7 @@
     /** HTTP/2 frames of a scripted server against the client's side of a connection. */
     @ParameterizedTest(name = "{0}")
     @MethodSource
-    void http2(String title, List<String> script) throws IOException {
+    void http2(String title, List<String> script) {
         new EnginePlayer().play(script);
     }
 
--- a/src/test/java/tinlink/Scenarios.java
+++ b/src/test/java/tinlink/Scenarios.java
@@ -37,4 +37,30 @@
             return all.map(p -> p.getFileName().toString()).filter(n -> n.endsWith(ending)).sorted().toList();
         }
     }
+
+    /** One step of a script, in words. */
+    public interface Step {
+        void take(String[] words) throws Exception;
+    }
+
+    /**
+     * Takes each step of a script; what fails is said with its line.
+     *
+     * @param between what parts two steps on one line
+     */
+    public static void play(List<String> script, String between, Step step) {
+        int no = 1;
+        for (String raw : script) {
+            no++;
+            try {
+                for (String one : raw.replaceAll("(^|\\s)#\\s.*", "").split(between)) {
+                    if (!one.isBlank()) {
+                        step.take(one.trim().split(" +"));
+                    }
+                }
+            } catch (Exception | AssertionError e) {
+                throw new AssertionError("line " + no + ": " + raw.trim() + "\n  " + e.getMessage(), e);
+            }
+        }
+    }
 }
--- a/src/test/java/tinlink/gateway/choice/ChoicePlayer.java
+++ b/src/test/java/tinlink/gateway/choice/ChoicePlayer.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
+import tinlink.Scenarios;
 
 /** Plays a scenario of the gateway's choices; docs/scenarios.md has the notation. Time is the script's. */
 public final class ChoicePlayer implements FarRouter.Hands, Taker.Hands {
@@ -56,19 +57,7 @@
     private long now;
 
     public void play(List<String> script) {
-        int no = 1;
-        for (String raw : script) {
-            no++;
-            try {
-                for (String line : raw.replaceAll("(^|\\s)#.*", "").split(";")) {
-                    if (!line.isBlank()) {
-                        line(line.trim().split(" +"));
-                    }
-                }
-            } catch (RuntimeException | AssertionError e) {
-                throw new AssertionError("line " + no + ": " + raw.trim() + "\n  " + e, e);
-            }
-        }
+        Scenarios.play(script, ";", this::line);
         assertEquals(List.of(), List.copyOf(decided), "decided and not expected");
     }
 
--- a/src/test/java/tinlink/http2/EnginePlayer.java
+++ b/src/test/java/tinlink/http2/EnginePlayer.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import tinlink.Scenarios;
 import tinlink.net.ParserPlayer;
 
 /** Plays frames of a scripted server against the client's engine; docs/scenarios.md has the notation. */
@@ -31,22 +32,10 @@
     private final Engine engine = new Engine(this::out, this, 4);
     private ByteArrayOutputStream block = new ByteArrayOutputStream();
 
-    public void play(List<String> script) throws IOException {
+    public void play(List<String> script) {
         engine.begins();
         said.clear();
-        int no = 1;
-        for (String raw : script) {
-            no++;
-            try {
-                for (String line : raw.replaceAll("(^|\\s)#\\s.*", "").split(";")) {
-                    if (!line.isBlank()) {
-                        line(line.trim().split(" +"));
-                    }
-                }
-            } catch (RuntimeException | AssertionError e) {
-                throw new AssertionError("line " + no + ": " + raw.trim() + "\n  " + e.getMessage(), e);
-            }
-        }
+        Scenarios.play(script, ";", this::line);
         assertEquals("[] []", said + " " + heard, "said and heard, and not expected");
     }
 
--- a/src/test/java/tinlink/http2/choice/PoolPlayer.java
+++ b/src/test/java/tinlink/http2/choice/PoolPlayer.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
+import tinlink.Scenarios;
 
 /** Plays a scenario of the choice of connections over HTTP/2; docs/scenarios.md has the notation. */
 public final class PoolPlayer implements Pool.Hands {
@@ -33,19 +34,7 @@
     private long now;
 
     public void play(List<String> script) {
-        int no = 1;
-        for (String raw : script) {
-            no++;
-            try {
-                for (String line : raw.replaceAll("(^|\\s)#\\s.*", "").split(";")) {
-                    if (!line.isBlank()) {
-                        line(line.trim().split(" +"));
-                    }
-                }
-            } catch (RuntimeException | AssertionError e) {
-                throw new AssertionError("line " + no + ": " + raw.trim() + "\n  " + e.getMessage(), e);
-            }
-        }
+        Scenarios.play(script, ";", this::line);
         assertEquals(List.of(), List.copyOf(decided), "decided and not expected");
     }
 
--- a/src/test/java/tinlink/lab/SitesPlayer.java
+++ b/src/test/java/tinlink/lab/SitesPlayer.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
+import tinlink.Scenarios;
 import tinlink.emulator.EmulatedClient;
 import tinlink.emulator.EmulatedLine;
 import tinlink.emulator.EmulatedNode;
@@ -35,20 +36,8 @@
     private TwoSites world;
     private Thread stopping;
 
-    void play(List<String> script) throws Exception {
-        int no = 1;
-        for (String raw : script) {
-            no++;
-            try {
-                for (String line : raw.replaceAll("(^|\\s)#\\s.*", "").split(";;")) {
-                    if (!line.isBlank()) {
-                        line(line.trim().split(" +"));
-                    }
-                }
-            } catch (Exception | AssertionError e) {
-                throw new AssertionError("line " + no + ": " + raw.trim() + "\n  " + e.getMessage(), e);
-            }
-        }
+    void play(List<String> script) throws InterruptedException {
+        Scenarios.play(script, ";;", this::line);
         rules();
     }
 
