Read-through: what nothing calls is gone from the links and the pool

Cause: a read of the whole change found methods and a field without a caller, and a list that one loop filled for the next. Change: they are gone; origins whose time is over leave one a decision.

--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -168,10 +168,6 @@
         return far.get(f).site();
     }
 
-    public List<FarRouter> farRouters() {
-        return List.copyOf(far.keySet());
-    }
-
     /** From now on these are the keys; connections that are up stay. */
     public void keys(Keys now) {
         keys = now;
--- a/src/main/java/tinlink/gateway/choice/RoundTrip.java
+++ b/src/main/java/tinlink/gateway/choice/RoundTrip.java
@@ -17,14 +17,6 @@
         }
     }
 
-    boolean known() {
-        return smoothedUs > 0;
-    }
-
-    long smoothedUs() {
-        return (long) smoothedUs;
-    }
-
     /** What has to be kept of a part's time beside a round trip that is measured anew for each. */
     long spareUs() {
         return (long) (4 * spreadUs);
--- a/src/main/java/tinlink/gateway/choice/Taker.java
+++ b/src/main/java/tinlink/gateway/choice/Taker.java
@@ -1,7 +1,6 @@
 package tinlink.gateway.choice;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -55,7 +54,6 @@
     private boolean leaving;
     private final Map<Object, Integer> told = new LinkedHashMap<>();
     private final ArrayDeque<Runnable> ready = new ArrayDeque<>();
-    private final List<Origin> empty = new ArrayList<>();
     private Hands hands;
     private long now;
     private long armed = Long.MAX_VALUE;
@@ -321,15 +319,10 @@
         }
         for (Origin o : origins.values()) {
             if (o.session == null && now >= o.leftAt + bounds.keepUs()) {
-                empty.add(o);
+                drop(o);
+                return true;
             }
         }
-        boolean any = !empty.isEmpty();
-        empty.forEach(this::drop);
-        empty.clear();
-        if (any) {
-            return true;
-        }
         long next = limit < bounds.running() ? adjustAt : Long.MAX_VALUE;
         for (Origin o : origins.values()) {
             next = o.session == null ? Math.min(next, o.leftAt + bounds.keepUs()) : next;
--- a/src/main/java/tinlink/http2/Engine.java
+++ b/src/main/java/tinlink/http2/Engine.java
@@ -193,10 +193,6 @@
         return List.copyOf(streams.values());
     }
 
-    boolean isSettled() {
-        return heard && acked;
-    }
-
     /** A frame has begun, or a header block, and has not come whole. */
     boolean between() {
         return parser.between() && block == null;
--- a/src/main/java/tinlink/http2/choice/Conn.java
+++ b/src/main/java/tinlink/http2/choice/Conn.java
@@ -4,7 +4,6 @@
 public final class Conn {
     enum State { CONNECTING, UP, LEAVING, OVER }
 
-    final Pool pool;
     State state = State.CONNECTING;
     /** Streams that the node allows; what is usual there until it has said so. */
     long limit;
@@ -17,18 +16,10 @@
     long ping;
     long pingAt;
 
-    Conn(Pool pool) {
-        this.pool = pool;
-    }
-
     public int open() {
         return open;
     }
 
-    public boolean isSettled() {
-        return settled;
-    }
-
     /**
      * Danger: what is sent before the node has shown that it speaks HTTP/2 may run there, or not, by any
      * protocol.
--- a/src/main/java/tinlink/http2/choice/Pool.java
+++ b/src/main/java/tinlink/http2/choice/Pool.java
@@ -266,7 +266,7 @@
         if (none) {
             return false;
         }
-        Conn c = new Conn(this);
+        Conn c = new Conn();
         c.usedAt = now;
         c.since = now;
         conns.add(c);
