Clients that come during a warm-up wait for the real door; the list is heard before serving

Seven in ten routers are back within a second, before the front has noticed that they were gone, so clients come while they warm up. The warm-up listened at the service address and let in whoever came: its lookups were answered with values that its stand-ins had made up. And until the first line of the watch, 42 ms after it began to serve, a router sent by the list known at its start, which was older than the grace of drains. Ruled out: spoilt answers (the frames that came in were well formed and from the router's own address), ids taken twice, answers on old connections. At fault: Warmup.Caller.arrived, which took any connection for its own, and Router.run, which served before the watch had spoken.

The warm-up runs on the router's own loop, with the service address listening from the start. Its own connections show a word from the seed; all others wait unread and are handed to the real door, with the time since which they wait. Frames that strangers send meanwhile are bounded. The watch opens at once, and clients are served once discovery has told its list, or after the connect time at most, while discovery is silent.

--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -96,7 +96,7 @@
             Router router = new Router(start, start.built.module);
             Hangup.hear(router::reload);
             if (!clients) {
-                router.warmUp();
+                router.onlyWarmUp();
                 return 0;
             }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/tinlink/net/Network.java
+++ b/src/main/java/tinlink/net/Network.java
@@ -68,13 +68,23 @@
 
     private static final Logger LOG = Logger.getLogger("tinlink.net");
     private final Loop loop;
-    private final Rings rings = new Rings();
+    private final Rings rings;
     private final AsynchronousChannelGroup group;
     private Listening server;
 
     public Network(Loop loop) throws IOException {
+        this(loop, new Rings(), AsynchronousChannelGroup.withThreadPool(new InPlace()));
+    }
+
+    private Network(Loop loop, Rings rings, AsynchronousChannelGroup group) {
         this.loop = loop;
-        group = AsynchronousChannelGroup.withThreadPool(new InPlace());
+        this.rings = rings;
+        this.group = group;
+    }
+
+    /** The same loop and channels without a door: its users connect, and can't change who is let in here. */
+    public Network apart() {
+        return new Network(loop, rings, group);
     }
 
     public Link connect(InetSocketAddress to, Link.Owner owner) throws IOException {
@@ -85,6 +95,7 @@
     public final class Listening {
         private final AsynchronousServerSocketChannel server;
         private boolean accepting;
+        private Door door;
 
         private Listening(InetSocketAddress at) throws IOException {
             server = AsynchronousServerSocketChannel.open(group).bind(at, 1024);
@@ -94,8 +105,9 @@
             return (InetSocketAddress) server.getLocalAddress();
         }
 
-        /** Accepts one after another, as long as the door lets them. */
-        public void accept(Door door) {
+        /** Accepts one after another, as long as the door lets them; a new door stands for the one before. */
+        public void accept(Door at) {
+            door = at;
             if (accepting || !server.isOpen() || !door.mayOpen()) {
                 return;
             }
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -63,13 +63,18 @@
 
     @Override
     public void opened(Link link, Link.Owner owner) {
+        opened(link, owner, loop.now());
+    }
+
+    /** @param since when it was accepted; its first request has its time from then on */
+    void opened(Link link, Link.Owner owner, long since) {
         descriptors.clientOpened();
         Client c = (Client) owner;
         c.on(link);
         clients.add(c);
         makeRoom();
         silent.add(c);
-        c.awaits(loop.now());
+        c.awaits(since);
     }
 
     private void makeRoom() {
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -208,6 +208,12 @@
         }
     }
 
+    /** Nothing more will be sent. */
+    void endAll() {
+        targets.values().stream().flatMap(t -> List.copyOf(t.links).stream()).toList()
+                .forEach(l -> l.end(Ending.DONE));
+    }
+
     // ---- Outcomes. ----
 
     /** The limit has passed. */
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -54,6 +54,8 @@
     private Watch watch;
     private long waitUs = FIRST_WAIT_US;
     private boolean down;
+    /** Run once, when discovery has told its list for the first time; null from then on. */
+    private Runnable atFirst;
 
     /** Names as numbers: those of the settings first, others as they come. There are few. */
     private static final class Numbers {
@@ -102,6 +104,15 @@
         hears.accept(cells);
     }
 
+    /** Where discovery is not asked, nothing is awaited. */
+    void whenHeard(Runnable what) {
+        if (pushed) {
+            atFirst = what;
+        } else {
+            what.run();
+        }
+    }
+
     /** Whether a node is of one of these kinds and zones, by their names. */
     boolean isOf(DataNode n, List<Http2Start.Offer> offers) {
         return offers.stream().anyMatch(o -> (o.kind() == null || kinds.of(o.kind()) == n.kind)
@@ -350,6 +361,11 @@
             if (use) {
                 try {
                     news(whole.value(), Aggregator.News.FULL);
+                    if (atFirst != null) {
+                        Runnable what = atFirst;
+                        atFirst = null;
+                        what.run();
+                    }
                 } catch (BadMessage e) {
                     LOG.warning("discovery: a line is left out: " + e.getMessage());
                 }
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -26,10 +26,21 @@
     private final Intake intake;
     private final PartSends sends;
     private final Roster roster;
+    private final Stages stages;
     /** Null where there are no other sites. */
     private final SiteLinks sites;
     /** As the configuration was last read. */
     private RouterStart start;
+    /** Plays before clients are served, and holds those that come; null without one and once we serve. */
+    private Warmup warmup;
+    private boolean warms;
+    /** The code has run, or will not. */
+    private boolean warm;
+    /** Discovery has told its list, or has been awaited long enough. */
+    private boolean listHeard;
+    private boolean serves;
+    /** Why it could not serve; null where it could. */
+    private IOException notServed;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch over = new CountDownLatch(1);
 
@@ -37,7 +48,7 @@
     public Router(RouterStart start, Aggregator module) throws IOException {
         this.start = start;
         network = new Network(loop);
-        Stages stages = new Stages(loop, network, start, module);
+        stages = new Stages(loop, network, start, module);
         turn = stages.turn;
         intake = stages.intake;
         sends = stages.sends;
@@ -50,16 +61,37 @@
     }
 
     /**
-     * Runs all code that clients will meet, so that it is compiled before they come; to be called before run.
+     * Run will first play all code that clients will meet, so that it is compiled before they are served.
      */
     public void warmUp() {
+        warms = true;
+    }
+
+    /** The warm-up and nothing else. */
+    public void onlyWarmUp() throws IOException {
         try {
-            long from = System.nanoTime();
-            int answered = new Warmup(start.again()).answered();
-            LOG.log(Level.INFO, "{0} has warmed up: {1} lookups in {2} ms",
-                    new Object[] {start.name, answered, (System.nanoTime() - from) / 1_000_000});
+            network.listen(start.listen);
+            beginWarmup(loop::end);
+            loop.run(turn);
+        } finally {
+            network.close();
+        }
+    }
+
+    private void beginWarmup(Runnable then) {
+        long from = System.nanoTime();
+        try {
+            warmup = new Warmup(start.again(), loop, network, stages, () -> {
+                LOG.log(Level.INFO, "{0} has warmed up: {1} lookups in {2} ms",
+                        new Object[] {start.name, warmup.answered(), (System.nanoTime() - from) / 1_000_000});
+                then.run();
+            });
+            turn.beside(warmup);
+            network.accept(warmup);
         } catch (IOException | RuntimeException e) {
             LOG.log(Level.WARNING, "the router starts cold", e);
+            warmup = null;
+            then.run();
         }
     }
 
@@ -68,19 +100,21 @@
         try {
             turn.begins(loop.now());
             roster.known(start.known);
+            // From here on clients can connect; until they are served they wait, and none is refused.
             network.listen(start.listen);
-            if (sites != null) {
-                sites.start(start.gateway);
-            }
+            roster.whenHeard(this::listHeard);
             if (start.pushed) {
                 roster.follow();
             }
-            network.accept(intake);
-            listening.countDown();
-            LOG.log(Level.INFO, "{0} serves at {1} with {2} data nodes, {3} descriptors and {4} MB",
-                    new Object[] {start.name, String.valueOf(network.address()), roster.size(),
-                        start.descriptors, start.memoryMb});
+            if (warms) {
+                beginWarmup(this::awaitList);
+            } else {
+                awaitList();
+            }
             loop.run(turn);
+            if (notServed != null) {
+                throw notServed;
+            }
             LOG.log(Level.INFO, "{0} has stopped, {1} lookups and parts in hand",
                     new Object[] {start.name, turn.open()});
         } finally {
@@ -89,7 +123,50 @@
         }
     }
 
-    /** From another thread: returns once clients can connect. */
+    /**
+     * Danger: the list known at the start may be older than the grace that drains have, and what is sent by
+     * it before discovery has spoken goes to nodes told as draining or gone long ago. Its agent answers
+     * at once, or is silent while discovery is down: no longer than a connection takes to come up.
+     */
+    private void awaitList() {
+        warm = true;
+        if (!listHeard) {
+            loop.at(loop.now() + start.links.connectUs(), this::listHeard);
+        }
+        serveWhenReady();
+    }
+
+    private void listHeard() {
+        listHeard = true;
+        serveWhenReady();
+    }
+
+    private void serveWhenReady() {
+        if (serves || !warm || !listHeard) {
+            return;
+        }
+        serves = true;
+        turn.beside(null);
+        try {
+            if (sites != null) {
+                sites.start(start.gateway);
+            }
+            network.accept(intake);
+            if (warmup != null) {
+                warmup.handOver();
+                warmup = null;
+            }
+            listening.countDown();
+            LOG.log(Level.INFO, "{0} serves at {1} with {2} data nodes, {3} descriptors and {4} MB",
+                    new Object[] {start.name, String.valueOf(network.address()), roster.size(),
+                        start.descriptors, start.memoryMb});
+        } catch (IOException e) {
+            notServed = e;
+            loop.end();
+        }
+    }
+
+    /** From another thread: returns once clients are served. */
     public void awaitListening() throws InterruptedException {
         listening.await();
     }
@@ -161,6 +238,10 @@
         loop.at(door, intake::closeDoor);
         loop.at(Math.max(door, loop.now() + LAST_TAKEN_US), () -> endWhenEmpty(last));
         intake.notReady();
+        if (warmup != null) {
+            warmup.end(); // Who waits for it is served now, while there is time.
+        }
+        listHeard();
         if (sites != null) {
             sites.gateway().leave();
         }
--- a/src/main/java/tinlink/router/Stages.java
+++ b/src/main/java/tinlink/router/Stages.java
@@ -12,10 +12,11 @@
     final PartSends sends;
     final Intake intake;
     final Roster roster;
+    final Descriptors descriptors;
 
     Stages(Loop loop, Network network, RouterStart start, Aggregator module) {
         turn = new ModuleTurn(loop, module, start.longestUs, start.mostComeBackUs);
-        Descriptors descriptors = new Descriptors(start.descriptors);
+        descriptors = new Descriptors(start.descriptors);
         sends = new PartSends(loop, network, descriptors, turn, start.links);
         reader = new QueryReader(start.lookups);
         intake = new Intake(loop, network, descriptors, reader, turn,
--- a/src/main/java/tinlink/router/Warmup.java
+++ b/src/main/java/tinlink/router/Warmup.java
@@ -5,8 +5,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import tinlink.decision.Index;
 import tinlink.net.BadMessage;
@@ -23,8 +26,12 @@
  * data nodes that are this process itself, at the address where it will serve. Danger: on part of a core
  * the code of a JVM that has just started is so slow that the first clients' time is over before they are
  * read.
+ *
+ * <p>Danger: clients come back before a router that was killed has warmed up, and would be answered with what
+ * the stand-ins here make up. So each connection of the warm-up's own shows a word that nobody else knows;
+ * all others wait unread, and are handed to the real door when the warm-up is over.
  */
-final class Warmup implements Network.Door {
+final class Warmup implements Network.Door, Loop.Turn {
     /**
      * What a first run costs, loading and linking, is over with the first few; each more makes a restart
      * longer.
@@ -32,44 +39,96 @@
     private static final int LOOKUPS = 24;
     private static final int ASKERS = 4;
     private static final int MOST_PARTS = 5;
+    /** A frame of the warm-up's own is far shorter. */
+    private static final int MOST_FRAME = 4096;
+    /** Begins each connection of our own clients'; no request begins so. */
+    private static final byte OURS = 1;
     private final RouterStart start;
-    private final Loop loop = new Loop();
-    private final Network network = new Network(loop);
+    private final Loop loop;
+    private final Network network;
+    private final Stages real;
+    private final Runnable then;
+    private final Stages stages;
     private final Intake intake;
+    /** Shown by our own clients, and by the ids of their lookups. */
+    private final String word;
     private final List<Map.Entry<String, Index>> indexes;
+    private final List<Asker> own = new ArrayList<>();
+    /** Accepted and not known as our own; all leave when the warm-up is over. */
+    private final Set<Caller> waiting = new LinkedHashSet<>();
+    private final Loop.Timer limit;
+    private boolean over;
     private int asked;
     private int answered;
     private int askers;
 
-    /** @param start read for this alone, since its module is used up */
-    Warmup(RouterStart start) throws IOException {
+    /**
+     * @param start read for this alone, since its module is used up
+     * @param network listens already; the door is ours until the end
+     * @param real those who will serve, to whom clients that come meanwhile are handed
+     * @param then run once, when all has been played
+     */
+    Warmup(RouterStart start, Loop loop, Network network, Stages real, Runnable then) throws IOException {
         this.start = start;
+        this.loop = loop;
+        this.network = network;
+        this.real = real;
+        this.then = then;
+        word = String.format("%016x", new SplittableRandom(start.seed).split().nextLong());
         indexes = List.copyOf(start.lookups.indexes().entrySet());
-        Stages stages = new Stages(loop, network, start, start.built.module);
+        stages = new Stages(loop, network.apart(), start, start.built.module);
         intake = stages.intake;
         intake.notReady();
         stages.turn.serves(stages.sends, () -> { }); // Its list is its own; discovery is not asked.
-        try {
-            network.listen(start.listen);
-            stages.turn.begins(loop.now());
-            stages.roster.known(list(network.address()));
-            network.accept(this);
-            for (int i = 0; i < ASKERS; i++) {
-                Asker a = new Asker();
-                a.link = network.connect(network.address(), a);
-                askers++;
-            }
-            loop.at(loop.now() + start.longestUs, loop::end);
-            loop.run(stages.turn);
-        } finally {
-            network.close();
+        stages.turn.begins(loop.now());
+        stages.roster.known(list(network.address()));
+        for (int i = 0; i < ASKERS; i++) {
+            Asker a = new Asker();
+            a.link = network.connect(network.address(), a);
+            own.add(a);
+            askers++;
         }
+        limit = loop.at(loop.now() + start.longestUs, this::end);
     }
 
     int answered() {
         return answered;
     }
 
+    /** Our own connections are closed; who has come meanwhile goes on waiting. */
+    void end() {
+        if (over) {
+            return;
+        }
+        over = true;
+        loop.takeBack(limit);
+        own.forEach(a -> a.link.end(Ending.DONE));
+        stages.sends.endAll();
+        then.run();
+    }
+
+    /** Clients that wait come to the real door, each with what it has sent. */
+    void handOver() {
+        List<Caller> clients = List.copyOf(waiting);
+        waiting.clear();
+        for (Caller c : clients) {
+            real.descriptors.clientClosed();
+            c.as = real.intake.owner();
+            real.intake.opened(c.link, c.as, c.since);
+            c.link.more();
+        }
+    }
+
+    @Override
+    public void begins(long nowUs) {
+        stages.turn.begins(nowUs);
+    }
+
+    @Override
+    public void decides() {
+        stages.turn.decides();
+    }
+
     /** A data node for each shard, at our own address. */
     private Map<?, ?> list(InetSocketAddress at) {
         String endpoint = at.getAddress().getHostAddress() + ":" + at.getPort();
@@ -87,32 +146,39 @@
 
     @Override
     public void opened(Link link, Link.Owner owner) {
-        ((Caller) owner).link = link;
+        Caller c = (Caller) owner;
+        c.link = link;
+        waiting.add(c);
+        real.descriptors.clientOpened();
     }
 
     @Override
     public boolean mayOpen() {
-        return intake.mayOpen();
+        return real.intake.mayOpen();
     }
 
     @Override
     public void acceptFailed(Throwable why) {
-        loop.end();
+        end();
     }
 
-    /** Whoever connects: a frame's length begins with a zero byte, a request does not. */
+    /**
+     * Whoever connects: a frame's length begins with a zero byte, our own clients with their mark and word.
+     */
     private final class Caller implements Link.Owner {
+        private final long since = loop.now();
+        private final StringBuilder shown = new StringBuilder();
         private Link link;
         private Link.Owner as;
+        private boolean marked;
 
         @Override
         public void arrived(Ring in) {
-            if (as == null && in.size() > 0) {
+            if (as == null && in.size() > 0 && !over) {
                 if (in.peek() == 0) {
-                    as = new Answerer(link);
-                } else {
-                    as = intake.owner();
-                    intake.opened(link, as);
+                    known(new Answerer(link));
+                } else if (marked || in.peek() == OURS) {
+                    shows(in);
                 }
             }
             if (as != null) {
@@ -120,6 +186,33 @@
             }
         }
 
+        private void shows(Ring in) {
+            if (!marked) {
+                marked = true;
+                in.take();
+            }
+            while (in.size() > 0 && shown.length() < word.length()) {
+                shown.append((char) in.take());
+            }
+            if (shown.length() == word.length()) {
+                if (word.contentEquals(shown)) {
+                    Link.Owner client = intake.owner();
+                    known(client);
+                    intake.opened(link, client);
+                } else {
+                    link.end(Ending.BAD_INPUT); // No request begins so, whoever it is.
+                }
+            }
+        }
+
+        /** It is not one that waits for the real door. */
+        private void known(Link.Owner who) {
+            as = who;
+            if (waiting.remove(this)) {
+                real.descriptors.clientClosed();
+            }
+        }
+
         @Override
         public void idle() {
             if (as != null) {
@@ -131,12 +224,15 @@
         public void ended(Ending how) {
             if (as != null) {
                 as.ended(how);
+            } else {
+                known(null);
+                network.accept(Warmup.this);
             }
         }
     }
 
     /** A data node: answers each part, now and then with an error or by turning it away. */
-    private static final class Answerer implements Link.Owner {
+    private final class Answerer implements Link.Owner {
         private final Link link;
         private final byte[] length = new byte[4];
         private int head;
@@ -152,12 +248,20 @@
             while (in.size() > 0) {
                 if (head < length.length) {
                     length[head++] = in.take();
-                    frame = head < length.length ? null
-                            : ByteBuffer.allocate(ByteBuffer.wrap(length).getInt());
+                    int size = head < length.length ? 0 : ByteBuffer.wrap(length).getInt();
+                    // Danger: anybody may have sent this, not only our own.
+                    if (size < 0 || size > MOST_FRAME) {
+                        link.end(Ending.BAD_INPUT);
+                        return;
+                    }
+                    frame = ByteBuffer.allocate(size);
                 } else {
                     frame.put(in.takeRun(frame.remaining()));
                     if (!frame.hasRemaining()) {
                         head = 0;
+                        if (link.isOver()) {
+                            return;
+                        }
                         answer(new String(frame.array(), StandardCharsets.UTF_8));
                     }
                 }
@@ -167,7 +271,11 @@
         private void answer(String whole) {
             for (int at = 1; whole.charAt(0) == 'R' && at < whole.length(); parts++) {
                 int lf = whole.indexOf('\n', at);
-                String[] words = whole.substring(at, lf).split(" ");
+                String[] words = lf < 0 ? new String[0] : whole.substring(at, lf).split(" ");
+                if (words.length != 4 || !words[0].startsWith(word)) {
+                    link.end(Ending.BAD_INPUT);
+                    return;
+                }
                 at = lf + 1 + Integer.parseInt(words[3]);
                 String end = parts % 32 == 30 ? "ERROR" : parts % 32 == 14 ? "REJECTED" : "OK";
                 byte[] y = ("Y" + words[0] + " " + end + " 1 -\n" + words[0])
@@ -190,6 +298,7 @@
 
         @Override
         public void up() {
+            link.out().put(new byte[] {OURS}).put(word);
             ask();
         }
 
@@ -204,7 +313,7 @@
                 segments.add("{\"segment\":" + i + ",\"boost\":" + 1.0 / parts + "}");
             }
             String body = "{\"segments\":[" + String.join(",", segments) + "],\"text\":\"warm\"}";
-            link.out().put("POST /api HTTP/1.1\r\nHost: warm\r\nX-Call-Id: warm" + asked++
+            link.out().put("POST /api HTTP/1.1\r\nHost: warm\r\nX-Call-Id: " + word + asked++
                     + "\r\nX-Call-Class: "
                     + index.getKey() + "\r\nX-Budget-Ms: " + index.getValue().hardUs / 1000
                     + "\r\nIdempotency-Key: warm\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
@@ -225,7 +334,7 @@
         @Override
         public void over() {
             if (++answered == LOOKUPS) {
-                loop.end();
+                end();
             } else {
                 ask();
             }
@@ -234,7 +343,7 @@
         @Override
         public void ended(Ending how) {
             if (--askers == 0) {
-                loop.end();
+                end();
             }
         }
     }
