Tests: who comes while a router warms up; strangers' frames end with the warm-up

Three scenarios: a client that connects as soon as the router listens is served by the data nodes; frames and marks of strangers during a warm-up cost their own connection; nothing is sent by the list known at the start before discovery has spoken. A fourth: silent discovery is awaited for a connect's time only.

Change: frames begun by a stranger and not ended were held by a stand-in after the warm-up; they end with it. The players' discovery tells an empty change at once, as an agent does, so that starts don't wait for it.

--- a/src/main/java/tinlink/router/Warmup.java
+++ b/src/main/java/tinlink/router/Warmup.java
@@ -56,6 +56,8 @@
     private final List<Asker> own = new ArrayList<>();
     /** Accepted and not known as our own; all leave when the warm-up is over. */
     private final Set<Caller> waiting = new LinkedHashSet<>();
+    /** Frames come there; whoever sent them, none of it outlives the warm-up. */
+    private final List<Link> frames = new ArrayList<>();
     private final Loop.Timer limit;
     private boolean over;
     private int asked;
@@ -104,6 +106,7 @@
         loop.takeBack(limit);
         own.forEach(a -> a.link.end(Ending.DONE));
         stages.sends.endAll();
+        frames.forEach(l -> l.end(Ending.DONE));
         then.run();
     }
 
@@ -177,6 +180,7 @@
             if (as == null && in.size() > 0 && !over) {
                 if (in.peek() == 0) {
                     known(new Answerer(link));
+                    frames.add(link);
                 } else if (marked || in.peek() == OURS) {
                     shows(in);
                 }
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -52,6 +52,7 @@
 final class RouterPlayer implements AutoCloseable {
     private static final int PATIENCE_MS = 10_000;
     private static final int QUIET_MS = 60;
+    private static final int LATE_MS = 150;
     private static final Logger LOG = Logger.getLogger("tinlink");
     private final Path dir;
     /** What the router has logged and no line of the script has looked at. */
@@ -81,6 +82,9 @@
     private Router router;
     private Thread stopping;
     private boolean faulty;
+    /** Where the router listens; 0 for any, unless clients come before it does. */
+    private int port;
+    private final List<Thread> early = new ArrayList<>();
 
     RouterPlayer(Path dir) throws IOException {
         this.dir = dir;
@@ -135,6 +139,16 @@
                     s.accept();
                 }
             }
+            case "early" -> {
+                if (port == 0) {
+                    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                        port = free.getLocalPort();
+                    }
+                }
+                Client c = new Client();
+                clients.put(w[1], c);
+                early.add(new Thread(() -> c.early(rest)));
+            }
             case "start" -> {
                 discovery.accept();
                 other.accept();
@@ -187,7 +201,7 @@
 
     private void start(boolean warm) throws Exception {
         String known = standIns.values().stream().map(StandIn::entry).collect(Collectors.joining(","));
-        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
                 + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
                 + settings.get("sockets") + ",\"memory_mb\":" + settings.get("memory")
                 + "},\"known\":{\"rev\":41,\"all\":true,\"targets\":[" + known
@@ -200,6 +214,7 @@
         RouterStart from = new RouterStart(Map.of("NODE_CONFIG", config().toString(), "NODE_LOG", "OFF",
                 "NODE_DISCOVERY", "127.0.0.1:" + discovery.port()));
         router = new Router(from, faulty ? new Faulty(from.built.module) : from.built.module);
+        early.forEach(Thread::start);
         if (warm) {
             router.warmUp();
         }
@@ -211,6 +226,9 @@
             }
         }).start();
         router.awaitListening();
+        for (Thread t : early) {
+            t.join(PATIENCE_MS);
+        }
         Hangup.hear(router::reload);
     }
 
@@ -306,6 +324,9 @@
         private final LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
         /** Where the newest part call of an id came in. */
         private final Map<String, Socket> from = new ConcurrentHashMap<>();
+        /** What discovery tells first, a while after it is asked; empty where it is silent. */
+        private String first = "{\"rev\":41,\"all\":false,\"targets\":[]}";
+        private int firstAfterMs;
 
         StandIn(String name, int cell) throws IOException {
             this.name = name;
@@ -363,6 +384,10 @@
                     String path = head(in).split(" ")[1];
                     s.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                             .getBytes(StandardCharsets.UTF_8));
+                    Thread.sleep(firstAfterMs);
+                    if (!first.isEmpty()) {
+                        chunks(s, first + "\n");
+                    }
                     heard.add(path); // Only now: the script may say a line as soon as it sees this.
                     in.read();
                 } else {
@@ -373,7 +398,7 @@
                     }
                 }
                 heard.add("closed");
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
                 heard.add("closed");
             }
         }
@@ -414,12 +439,13 @@
                     assertEquals(rest.equals("nothing") ? null : rest, next);
                 }
                 case ">" -> says(rest.split(" ", 3));
-                case "tells" -> { // NODE STATE [BOOT]: one change of the list, cut into small chunks
-                    String[] w = rest.split(" ");
-                    String entry = standIns.get(w[0]).entry(w[1], w.length > 2 ? Long.parseLong(w[2]) : 0);
-                    chunks("{\"rev\":50,\"all\":false,\"targets\":[" + entry + "]}\n");
+                case "tells" -> chunks(newest(), change(rest) + "\n");
+                case "says" -> chunks(newest(), rest + "\n");
+                case "silent" -> first = "";
+                case "begins" -> {
+                    first = change(rest);
+                    firstAfterMs = LATE_MS;
                 }
-                case "says" -> chunks(rest + "\n");
                 case "links" -> assertEquals(Integer.parseInt(rest), links.size(), "links in all");
                 case "refuses" -> refuse();
                 case "accepts" -> accept();
@@ -441,11 +467,19 @@
             }
         }
 
-        private void chunks(String text) throws IOException {
+        /** NODE STATE [BOOT]: one change of the list. */
+        private String change(String rest) {
+            String[] w = rest.split(" ");
+            String entry = standIns.get(w[0]).entry(w[1], w.length > 2 ? Long.parseLong(w[2]) : 0);
+            return "{\"rev\":50,\"all\":false,\"targets\":[" + entry + "]}";
+        }
+
+        /** Small ones. */
+        private static void chunks(Socket to, String text) throws IOException {
             for (int at = 0; at < text.length(); at += 7) {
                 String piece = text.substring(at, Math.min(at + 7, text.length()));
                 String chunk = Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n";
-                newest().getOutputStream().write(chunk.getBytes(StandardCharsets.UTF_8));
+                to.getOutputStream().write(chunk.getBytes(StandardCharsets.UTF_8));
             }
         }
 
@@ -513,6 +547,22 @@
             }
         }
 
+        /** Connects as soon as the router listens, and says this at once. */
+        void early(String line) {
+            String[] w = line.split(" ", 2);
+            while (socket == null) {
+                try {
+                    socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                    socket.setSoTimeout(PATIENCE_MS);
+                    line(w[0], w[1]);
+                } catch (ConnectException e) {
+                    Thread.onSpinWait(); // It does not listen yet.
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+        }
+
         void line(String what, String rest) throws Exception {
             connect();
             switch (what) {
