What a lookup has waited at the door of a router that warms up counts against its time

Its time of 863 ms was counted from when it was read. It had come while the router warmed up, some 0.65 s before, so that the router gave it up half a second and more after its client had. Ruled out: a lookup that was never read (it was), an answer that did not leave (the links stay open). At fault: QueryReader.read, which took the time of reading for the time of asking.

Each accepted link carries the time at which it was accepted, taken where the accept completes; what was sent on a link that waited for the real door has its time from then. What is over by then is answered at once, and not sent.

--- a/src/main/java/tinlink/net/Link.java
+++ b/src/main/java/tinlink/net/Link.java
@@ -51,6 +51,7 @@
     /** Bytes that the kernel has taken, and those it has or will have once the write under way is over. */
     private long taken;
     private long offered;
+    private long acceptedAt;
 
     /** A read or a write under way; the handler's two fields reach the loop's thread by its queue. */
     private final class Under implements CompletionHandler<Long, Void>, Runnable {
@@ -97,8 +98,15 @@
     }
 
     /** A link over a connection that was accepted; {@link #start} opens it. */
-    static Link accepted(Loop loop, Rings rings, AsynchronousSocketChannel channel, Owner owner) {
-        return new Link(loop, rings, channel, owner);
+    static Link accepted(Loop loop, Rings rings, AsynchronousSocketChannel channel, Owner owner, long at) {
+        Link link = new Link(loop, rings, channel, owner);
+        link.acceptedAt = at;
+        return link;
+    }
+
+    /** When it was accepted; 0 where we have connected. */
+    public long acceptedAt() {
+        return acceptedAt;
     }
 
     /** Begins to connect; the owner hears {@code up} or {@code ended}. */
--- a/src/main/java/tinlink/net/Loop.java
+++ b/src/main/java/tinlink/net/Loop.java
@@ -60,6 +60,11 @@
         return now;
     }
 
+    /** From any thread: the time as it is, which a turn under way may lie behind. */
+    long time() {
+        return clock.nowUs();
+    }
+
     /** From any thread. */
     public void ready(Runnable what) {
         ready.add(what);
--- a/src/main/java/tinlink/net/Network.java
+++ b/src/main/java/tinlink/net/Network.java
@@ -115,10 +115,11 @@
             server.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
                 @Override
                 public void completed(AsynchronousSocketChannel channel, Void none) {
+                    long at = loop.time();
                     loop.ready(() -> {
                         accepting = false;
                         Link.Owner owner = door.owner();
-                        Link link = Link.accepted(loop, rings, channel, owner);
+                        Link link = Link.accepted(loop, rings, channel, owner, at);
                         door.opened(link, owner);
                         link.start();
                         accept(door);
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -39,13 +39,16 @@
     /** Runs while nothing is in hand: until then a whole request has to come. */
     private Loop.Timer limit;
     private boolean begun;
+    private long askedAt;
 
     Client(Intake intake) {
         this.intake = intake;
     }
 
-    void on(Link link) {
+    /** @param askedAt of its first request, where that has waited for us; else the end of time */
+    void on(Link link, long askedAt) {
         this.link = link;
+        this.askedAt = askedAt;
     }
 
     /** Danger: a request that crosses the close is lost once read; unread, its client asks elsewhere. */
@@ -198,7 +201,8 @@
             answer(intake.ready() ? Reply.plain(200, "ready") : Reply.plain(503, "not ready"));
             return;
         }
-        Query q = intake.read(fields, body, this);
+        Query q = intake.read(fields, body, this, askedAt);
+        askedAt = Long.MAX_VALUE;
         bodyRead();
         fields.clear(); // A connection with nothing in hand holds next to nothing.
         if (!intake.hasRoom(q)) {
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -63,14 +63,17 @@
 
     @Override
     public void opened(Link link, Link.Owner owner) {
-        opened(link, owner, loop.now());
+        opened(link, owner, loop.now(), false);
     }
 
-    /** @param since when it was accepted; its first request has its time from then on */
-    void opened(Link link, Link.Owner owner, long since) {
+    /**
+     * @param since when it was accepted; its first request has its time from then on
+     * @param asked what it asks has waited for us since then, so that much less of its time is left
+     */
+    void opened(Link link, Link.Owner owner, long since, boolean asked) {
         descriptors.clientOpened();
         Client c = (Client) owner;
-        c.on(link);
+        c.on(link, asked ? since : Long.MAX_VALUE);
         clients.add(c);
         makeRoom();
         silent.add(c);
@@ -189,8 +192,9 @@
         ready = false;
     }
 
-    Query read(Map<String, String> fields, JsonReader body, Client c) throws BadMessage {
-        Query q = reader.read(fields, body, c, loop.now());
+    /** @param askedAt when its client has asked, as far as that is known */
+    Query read(Map<String, String> fields, JsonReader body, Client c, long askedAt) throws BadMessage {
+        Query q = reader.read(fields, body, c, Math.min(askedAt, loop.now()));
         if (turn.knows(q.callId)) {
             throw new BadMessage(409, "x-call-id: one of that id is or was in hand");
         }
--- a/src/main/java/tinlink/router/QueryReader.java
+++ b/src/main/java/tinlink/router/QueryReader.java
@@ -27,7 +27,7 @@
         this.may = may;
     }
 
-    Query read(Map<String, String> fields, JsonReader body, Client client, long now) throws BadMessage {
+    Query read(Map<String, String> fields, JsonReader body, Client client, long askedAt) throws BadMessage {
         String callId = matching(fields, "x-call-id", CALL_ID);
         Index index = may.indexes().get(fields.getOrDefault("x-call-class", ""));
         if (index == null) {
@@ -45,7 +45,7 @@
         Query q = new Query(callId, text.getBytes(StandardCharsets.UTF_8), key, client);
         q.index = index;
         q.repeat = "1".equals(fields.get("x-again"));
-        q.leavesAt = now + budgetUs;
+        q.leavesAt = askedAt + budgetUs;
         segments(q, map.get("segments"));
         return q;
     }
--- a/src/main/java/tinlink/router/Warmup.java
+++ b/src/main/java/tinlink/router/Warmup.java
@@ -117,7 +117,8 @@
         for (Caller c : clients) {
             real.descriptors.clientClosed();
             c.as = real.intake.owner();
-            real.intake.opened(c.link, c.as, c.since);
+            // Danger: its client's time runs while it waits here; answered by ours, it would come too late.
+            real.intake.opened(c.link, c.as, c.link.acceptedAt(), c.said);
             c.link.more();
         }
     }
@@ -169,14 +170,15 @@
      * Whoever connects: a frame's length begins with a zero byte, our own clients with their mark and word.
      */
     private final class Caller implements Link.Owner {
-        private final long since = loop.now();
         private final StringBuilder shown = new StringBuilder();
         private Link link;
         private Link.Owner as;
         private boolean marked;
+        private boolean said;
 
         @Override
         public void arrived(Ring in) {
+            said |= in.size() > 0;
             if (as == null && in.size() > 0 && !over) {
                 if (in.peek() == 0) {
                     known(new Answerer(link));
