Old connections are held for dropped only on more silence than chance brings

The logs of all routers: of 11,900 links to data nodes that ended, 10,600 ended as RELEASED (closed by the module before a send), from the first seconds on and most while nodes were slowest, 1,300 as SILENT.

To one router of a hundred nearly every connection is one not used for a while, and two slow calls in a row on such (0.05, 0.0975) were over the bound of 0.08. So slowness passed for dropped connections in all routers, and made the nodes do handshakes. Ruled out: nodes that close idle connections (0 closed as idle), connects that fail (none ended as NOT_UP or REFUSED). At fault: Health.idleDrop, and place(), which renewed for each replay without any sign.

The share of silent calls on old connections has to be over that on others by two standard errors of a smoothed share; a replay renews an old connection on the former, weaker sign only.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -398,7 +398,7 @@
             boolean idle = s.calls == 0 && now - s.usedAt > p.lookup.roundUs / 2;
             // Lookups that can spare a part try one old connection, so that the suspicion is renewed or ends.
             boolean tries = p.lookup.index.need < 1 && p == p.lookup.parts.get(0);
-            c.renew = idle && (replay || health.idleDrop(now) && !tries);
+            c.renew = idle && (replay ? health.mayDrop(now) : health.idleDrop(now) && !tries);
             c.idle = idle && !c.renew;
             s.usedAt = now;
             c.shared = replicas.share(s, now);
@@ -683,6 +683,8 @@
         private static final double DYING = 1.5;
         private static final double DROPS = 0.08;
         private static final double OFTENER = 1.2;
+        /** So many standard errors of a smoothed share are no chance. */
+        private static final double SURE = 2;
         private final long memoryUs;
         private final long roundUs;
         /** Share of parts, smoothed, that were still out after a round. */
@@ -747,9 +749,18 @@
         /**
          * Danger: connections that are dropped unseen after a while without use: what is sent on one is never
          * answered, and a well node looks hung. Told from a hang by what answers on connections new or
-         * busy. Catches full or restarted middle boxes too; may cost connections while nodes hang.
+         * busy. Catches full or restarted middle boxes too; may cost connections while nodes hang. Danger: to
+         * a router of many nearly all connections are old, and two slow calls in a row are no sign; new
+         * ones from all routers would load the nodes more. So the shares differ by more than by chance.
          */
         boolean idleDrop(long now) {
+            double both = (idleQuiet + busyQuiet) / 2;
+            return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, OFTENER * busyQuiet
+                    + SURE * Math.sqrt(both * (1 - both) * QUIET_STEP));
+        }
+
+        /** Less than sure, but enough where there is no other try. */
+        boolean mayDrop(long now) {
             return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, OFTENER * busyQuiet);
         }
 
