Read-through: one reading of the shares of silence, a plainer word at the warm-up's door

Change: both signs of dropped connections go by one comparison. The mark and the word of the warm-up's own connections are one text, so no flag says how much of it was read; a check there that could never be true is gone, and a frame's buffer is made once, not for each byte of its length. The list's first word needs no state in the roster, as the router's answer to it can be repeated, and whether discovery is asked is looked at once. Behaviour, bounds and assertions are as they were.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -755,13 +755,17 @@
          */
         boolean idleDrop(long now) {
             double both = (idleQuiet + busyQuiet) / 2;
-            return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, OFTENER * busyQuiet
-                    + SURE * Math.sqrt(both * (1 - both) * QUIET_STEP));
+            return quietBeyond(SURE * Math.sqrt(both * (1 - both) * QUIET_STEP), now);
         }
 
         /** Less than sure, but enough where there is no other try. */
         boolean mayDrop(long now) {
-            return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, OFTENER * busyQuiet);
+            return quietBeyond(0, now);
+        }
+
+        /** @param by how much the shares may differ by chance */
+        private boolean quietBeyond(double by, long now) {
+            return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, OFTENER * busyQuiet + by);
         }
 
         private void connection(PartCall c, double silent, long now) {
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -210,8 +210,7 @@
 
     /** Nothing more will be sent. */
     void endAll() {
-        targets.values().stream().flatMap(t -> List.copyOf(t.links).stream()).toList()
-                .forEach(l -> l.end(Ending.DONE));
+        List.copyOf(targets.values()).forEach(t -> List.copyOf(t.links).forEach(l -> l.end(Ending.DONE)));
     }
 
     // ---- Outcomes. ----
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -54,8 +54,7 @@
     private Watch watch;
     private long waitUs = FIRST_WAIT_US;
     private boolean down;
-    /** Run once, when discovery has told its list for the first time; null from then on. */
-    private Runnable atFirst;
+    private Runnable whenHeard = () -> { };
 
     /** Names as numbers: those of the settings first, others as they come. There are few. */
     private static final class Numbers {
@@ -104,13 +103,9 @@
         hears.accept(cells);
     }
 
-    /** Where discovery is not asked, nothing is awaited. */
+    /** Runs whenever discovery has told something. */
     void whenHeard(Runnable what) {
-        if (pushed) {
-            atFirst = what;
-        } else {
-            what.run();
-        }
+        whenHeard = what;
     }
 
     /** Whether a node is of one of these kinds and zones, by their names. */
@@ -361,11 +356,7 @@
             if (use) {
                 try {
                     news(whole.value(), Aggregator.News.FULL);
-                    if (atFirst != null) {
-                        Runnable what = atFirst;
-                        atFirst = null;
-                        what.run();
-                    }
+                    whenHeard.run();
                 } catch (BadMessage e) {
                     LOG.warning("discovery: a line is left out: " + e.getMessage());
                 }
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -102,9 +102,11 @@
             roster.known(start.known);
             // From here on clients can connect; until they are served they wait, and none is refused.
             network.listen(start.listen);
-            roster.whenHeard(this::listHeard);
             if (start.pushed) {
+                roster.whenHeard(this::listHeard);
                 roster.follow();
+            } else {
+                listHeard = true; // Discovery is not asked: nothing is awaited.
             }
             if (warms) {
                 beginWarmup(this::awaitList);
--- a/src/main/java/tinlink/router/Warmup.java
+++ b/src/main/java/tinlink/router/Warmup.java
@@ -41,8 +41,8 @@
     private static final int MOST_PARTS = 5;
     /** A frame of the warm-up's own is far shorter. */
     private static final int MOST_FRAME = 4096;
-    /** Begins each connection of our own clients'; no request begins so. */
-    private static final byte OURS = 1;
+    /** Begins what our own clients show; no request begins so. */
+    private static final char OURS = 1;
     private final RouterStart start;
     private final Loop loop;
     private final Network network;
@@ -50,8 +50,10 @@
     private final Runnable then;
     private final Stages stages;
     private final Intake intake;
-    /** Shown by our own clients, and by the ids of their lookups. */
+    /** Begins the ids of our own lookups. */
     private final String word;
+    /** Begins each connection of our own clients'. */
+    private final String shown;
     private final List<Map.Entry<String, Index>> indexes;
     private final List<Asker> own = new ArrayList<>();
     /** Accepted and not known as our own; all leave when the warm-up is over. */
@@ -77,6 +79,7 @@
         this.real = real;
         this.then = then;
         word = String.format("%016x", new SplittableRandom(start.seed).split().nextLong());
+        shown = OURS + word;
         indexes = List.copyOf(start.lookups.indexes().entrySet());
         stages = new Stages(loop, network.apart(), start, start.built.module);
         intake = stages.intake;
@@ -170,10 +173,9 @@
      * Whoever connects: a frame's length begins with a zero byte, our own clients with their mark and word.
      */
     private final class Caller implements Link.Owner {
-        private final StringBuilder shown = new StringBuilder();
+        private final StringBuilder shows = new StringBuilder();
         private Link link;
         private Link.Owner as;
-        private boolean marked;
         private boolean said;
 
         @Override
@@ -183,8 +185,8 @@
                 if (in.peek() == 0) {
                     known(new Answerer(link));
                     frames.add(link);
-                } else if (marked || in.peek() == OURS) {
-                    shows(in);
+                } else if (!shows.isEmpty() || in.peek() == OURS) {
+                    show(in);
                 }
             }
             if (as != null) {
@@ -192,16 +194,12 @@
             }
         }
 
-        private void shows(Ring in) {
-            if (!marked) {
-                marked = true;
-                in.take();
+        private void show(Ring in) {
+            while (in.size() > 0 && shows.length() < shown.length()) {
+                shows.append((char) in.take());
             }
-            while (in.size() > 0 && shown.length() < word.length()) {
-                shown.append((char) in.take());
-            }
-            if (shown.length() == word.length()) {
-                if (word.contentEquals(shown)) {
+            if (shows.length() == shown.length()) {
+                if (shown.contentEquals(shows)) {
                     Link.Owner client = intake.owner();
                     known(client);
                     intake.opened(link, client);
@@ -254,26 +252,29 @@
             while (in.size() > 0) {
                 if (head < length.length) {
                     length[head++] = in.take();
-                    int size = head < length.length ? 0 : ByteBuffer.wrap(length).getInt();
-                    // Danger: anybody may have sent this, not only our own.
-                    if (size < 0 || size > MOST_FRAME) {
-                        link.end(Ending.BAD_INPUT);
+                    if (head == length.length && !begins(ByteBuffer.wrap(length).getInt())) {
                         return;
                     }
-                    frame = ByteBuffer.allocate(size);
                 } else {
                     frame.put(in.takeRun(frame.remaining()));
                     if (!frame.hasRemaining()) {
                         head = 0;
-                        if (link.isOver()) {
-                            return;
-                        }
                         answer(new String(frame.array(), StandardCharsets.UTF_8));
                     }
                 }
             }
         }
 
+        /** Danger: anybody may have sent this, not only our own. */
+        private boolean begins(int size) {
+            if (size < 0 || size > MOST_FRAME) {
+                link.end(Ending.BAD_INPUT);
+                return false;
+            }
+            frame = ByteBuffer.allocate(size);
+            return true;
+        }
+
         private void answer(String whole) {
             for (int at = 1; whole.charAt(0) == 'R' && at < whole.length(); parts++) {
                 int lf = whole.indexOf('\n', at);
@@ -304,7 +305,7 @@
 
         @Override
         public void up() {
-            link.out().put(new byte[] {OURS}).put(word);
+            link.out().put(shown);
             ask();
         }
 
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -201,8 +201,9 @@
 
     private void start(boolean warm) throws Exception {
         String known = standIns.values().stream().map(StandIn::entry).collect(Collectors.joining(","));
-        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
-                + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
+        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"discovery\":\"127.0.0.1:" + discovery.port()
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
                 + settings.get("sockets") + ",\"memory_mb\":" + settings.get("memory")
                 + "},\"known\":{\"rev\":41,\"all\":true,\"targets\":[" + known
                 + "]},\"settings\":{\"stepMs\":5,\"zone\":0,\"localities\":[\"east\",\"west\"],"
