--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -438,13 +438,10 @@
         long coldTurn = -1;
         double coldChance;
         double likeRate;
-        /** By chance, for as long as it is known: among unheard ones that cost the same the least goes first. */
-        final double lot;
 
-        Seen(DataNode node, int cell, double lot) {
+        Seen(DataNode node, int cell) {
             this.node = node;
             this.cell = cell;
-            this.lot = lot;
         }
     }
 
@@ -549,11 +546,9 @@
         /** The same nodes by cell: the cost of a part goes with its holders, not with the fleet. */
         private final List<List<Seen>> byCell = new ArrayList<>();
         private final Health health;
-        private final SplittableRandom random;
 
-        public Replicas(long seed, int cells, int reach, int bundleMax, long callUs, int zone,
-                        double crossPrice, Health health) {
-            random = new SplittableRandom(seed);
+        public Replicas(int cells, int reach, int bundleMax, long callUs, int zone, double crossPrice,
+                        Health health) {
             this.zone = zone;
             far = 1 + FAR * crossPrice;
             this.cells = cells;
@@ -569,7 +564,7 @@
         void listed(DataNode n, boolean restarted) {
             Seen s = known.get(n);
             if (s == null || restarted || s.cell != Math.floorMod(n.cell, cells)) {
-                Seen fresh = new Seen(n, Math.floorMod(n.cell, cells), random.nextDouble());
+                Seen fresh = new Seen(n, Math.floorMod(n.cell, cells));
                 fresh.calls = s == null ? 0 : s.calls;
                 forget(s);
                 known.put(n, fresh);
@@ -596,7 +591,7 @@
         /** Never null: a call may end after its node was forgotten. */
         Seen seen(DataNode n) {
             Seen s = known.get(n);
-            return s == null ? new Seen(n, -1, 0) : s;
+            return s == null ? new Seen(n, -1) : s;
         }
 
         boolean held(Part p, long now) {
@@ -672,11 +667,7 @@
             return best;
         }
 
-        /** Danger: routers that know as little send all their first parts to the same holder of a shard. */
         private static boolean older(Seen a, Seen b) {
-            if (a.smoothedUs == 0 && b.smoothedUs == 0) {
-                return a.lot < b.lot;
-            }
             return a.node.startedAt != b.node.startedAt ? a.node.startedAt < b.node.startedAt
                     : a.node.id < b.node.id;
         }
--- a/src/test/java/tinlink/Player.java
+++ b/src/test/java/tinlink/Player.java
@@ -203,7 +203,7 @@
             FastestValid.Health health = new FastestValid.Health(longestSoft);
             module = new FastestValid(
                     new FastestValid.Rounds(us("step"), whole("tries"), yes("copies"), yes("cancel")),
-                    new FastestValid.Replicas(1, whole("cells"), whole("reach"), whole("bundle"), us("call"),
+                    new FastestValid.Replicas(whole("cells"), whole("reach"), whole("bundle"), us("call"),
                             whole("zone"), num("cross"), health),
                     health,
                     new FastestValid.ColdGuard(7, whole("group"), 0.2, 10_000_000, 2, 2_000_000, health),
