Old connections are held for dropped by the age past which calls on them go silent

At fault was what was compared (Health.idleDrop): all calls on connections unused for half a round, fresh and old ones alike; to a router of many that is nearly all calls, slow ones among them.

Now calls are counted by the age of their connection, in steps that double, and a connection is held for dropped where calls past some age go silent beyond chance compared with younger ones. Slow calls do so at any age.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -395,11 +396,11 @@
             c.number = p.calls.size();
             c.sentAt = now;
             c.callsBefore = s.calls;
-            boolean idle = s.calls == 0 && now - s.usedAt > p.lookup.roundUs / 2;
+            int age = s.calls == 0 ? health.age(now - s.usedAt) : 0;
             // Lookups that can spare a part try one old connection, so that the suspicion is renewed or ends.
             boolean tries = p.lookup.index.need < 1 && p == p.lookup.parts.get(0);
-            c.renew = idle && (replay ? health.mayDrop(now) : health.idleDrop(now) && !tries);
-            c.idle = idle && !c.renew;
+            c.renew = health.dropped(age, replay ? 0 : Health.SURE, now) && (replay || !tries);
+            c.age = c.renew ? 0 : age;
             s.usedAt = now;
             c.shared = replicas.share(s, now);
             p.calls.add(c);
@@ -683,16 +684,19 @@
         private static final double DYING = 1.5;
         private static final double DROPS = 0.08;
         private static final double OFTENER = 1.2;
-        /** So many standard errors of a smoothed share are no chance. */
-        private static final double SURE = 2;
+        /** So many standard errors between two shares are no chance. */
+        private static final double SURE = 2.5;
+        private static final int AGES = 8;
+        /** What connections show is forgotten so many times slower than what nodes do. */
+        private static final double AGES_FADE = 0.25;
         private final long memoryUs;
         private final long roundUs;
         /** Share of parts, smoothed, that were still out after a round. */
         private double quiet;
-        /** The same for part calls on connections not used for a while, and for the others. */
-        private double idleQuiet;
-        private double busyQuiet;
-        private long idleAt;
+        /** Part calls, and silent ones, by the age of what they went on; fading. */
+        private final double[] calls = new double[AGES];
+        private final double[] silent = new double[AGES];
+        private long callsAt;
         /** The smoothed latencies of all nodes heard, kept up as samples come. */
         private double sumUs;
         private int heard;
@@ -741,37 +745,57 @@
         void silent(Seen s, PartCall c, long now) {
             sample(s, c, Math.max(now - c.sentAt, s.smoothedUs), now);
             connection(c, 1, now);
-            if (s.lastGoodAt < c.sentAt && !(c.idle && idleDrop(now))) {
+            if (s.lastGoodAt < c.sentAt && !dropped(c.age, SURE, now)) {
                 bad(s, now);
             }
         }
 
+        /** For how long a connection was not used: 0 up to half a round, then one more for each doubling. */
+        int age(long unusedUs) {
+            return unusedUs <= roundUs / 2 ? 0
+                    : Math.min(AGES - 1, Long.SIZE - Long.numberOfLeadingZeros(2 * unusedUs / roundUs));
+        }
+
         /**
          * Danger: connections that are dropped unseen after a while without use: what is sent on one is never
-         * answered, and a well node looks hung. Told from a hang by what answers on connections new or
-         * busy. Catches full or restarted middle boxes too; may cost connections while nodes hang. Danger: to
-         * a router of many nearly all connections are old, and two slow calls in a row are no sign; new
-         * ones from all routers would load the nodes more. So the shares differ by more than by chance.
+         * answered, and a well node looks hung. What drops them goes by their age: so past some age, up to
+         * this one, calls go silent more often than on younger ones, and by more than chance. Slow calls do
+         * so at any age; to a router of many, which uses each connection seldom, they are no sign, and new
+         * connections from all routers would load the nodes more. Catches full or restarted middle boxes too.
+         *
+         * @param errors how many standard errors the shares differ by at least
          */
-        boolean idleDrop(long now) {
-            double both = (idleQuiet + busyQuiet) / 2;
-            return quietBeyond(SURE * Math.sqrt(both * (1 - both) * QUIET_STEP), now);
-        }
-
-        /** Less than sure, but enough where there is no other try. */
-        boolean mayDrop(long now) {
-            return quietBeyond(0, now);
-        }
-
-        /** @param by how much the shares may differ by chance */
-        private boolean quietBeyond(double by, long now) {
-            return idleQuiet * Math.pow(fade(idleAt, now), 0.25) > Math.max(DROPS, OFTENER * busyQuiet + by);
+        boolean dropped(int age, double errors, long now) {
+            double left = Math.pow(fade(callsAt, now), AGES_FADE);
+            double all = Arrays.stream(calls).sum() * left;
+            double allSilent = Arrays.stream(silent).sum() * left;
+            double both = allSilent / Math.max(1, all);
+            double young = 0;
+            double youngSilent = 0;
+            for (int from = 1; from <= age; from++) {
+                young += calls[from - 1] * left;
+                youngSilent += silent[from - 1] * left;
+                double old = all - young;
+                double error = Math.sqrt(both * (1 - both) * (1 / Math.max(1, old) + 1 / Math.max(1, young)));
+                double oldSilent = allSilent - youngSilent;
+                // One slow call is no sign, whatever it is compared with.
+                if (oldSilent > 1 && oldSilent / Math.max(1, old)
+                        > Math.max(DROPS, OFTENER * youngSilent / Math.max(1, young) + errors * error)) {
+                    return true;
+                }
+            }
+            return false;
         }
 
-        private void connection(PartCall c, double silent, long now) {
-            idleQuiet += c.idle ? QUIET_STEP * (silent - idleQuiet) : 0;
-            idleAt = c.idle ? now : idleAt;
-            busyQuiet += c.idle ? 0 : QUIET_STEP * (silent - busyQuiet);
+        private void connection(PartCall c, double wasSilent, long now) {
+            double left = Math.pow(fade(callsAt, now), AGES_FADE);
+            callsAt = now;
+            for (int i = 0; i < AGES; i++) {
+                calls[i] *= left;
+                silent[i] *= left;
+            }
+            calls[c.age]++;
+            silent[c.age] += wasSilent;
         }
 
         /** A lookup's parts count together: one by one its silent ones, judged last, would pass for all. */
--- a/src/main/java/tinlink/decision/PartCall.java
+++ b/src/main/java/tinlink/decision/PartCall.java
@@ -18,7 +18,7 @@
     /** Calls that were out at its node when it was sent. */
     public int callsBefore;
     public boolean cancelled;
-    /** Sent on a connection that had not been used for a while, or on a new one in its place. */
-    public boolean idle;
+    /** For how long what it was sent on had not been used, in steps; 0 for not long, or a new one. */
+    public int age;
     public boolean renew;
 }
