--- a/src/main/java/tinlink/gateway/FarSession.java
+++ b/src/main/java/tinlink/gateway/FarSession.java
@@ -10,6 +10,7 @@
 import tinlink.gateway.choice.Origin;
 import tinlink.net.BadMessage;
 import tinlink.net.Ending;
+import tinlink.sealed.Session;
 
 /** The far side of a line: whoever connects proves who it is, then hands parts over and asks about them. */
 final class FarSession extends Session {
@@ -28,12 +29,12 @@
     private final LinkedHashMap<Long, Long> ponged = new LinkedHashMap<>();
 
     FarSession(Gateway gateway) {
-        super(gateway.loop, gateway.times.handshakeUs());
+        super(gateway.loop, gateway.times.handshakeUs(), Wire.MOST_BEFORE, Wire.MOST);
         this.gateway = gateway;
     }
 
     @Override
-    void said(byte type, ByteBuffer in, byte[] whole) throws BadMessage {
+    protected void said(byte type, ByteBuffer in, byte[] whole) throws BadMessage {
         if (hello == null) {
             greeted(type, in, whole);
         } else if (origin == null) {
@@ -152,7 +153,7 @@
     }
 
     @Override
-    void over(Ending how) {
+    protected void over(Ending how) {
         gateway.closed(this);
         if (origin != null) {
             LOG.log(Level.INFO, "event=near_down site={0} router={1} line={2} how={3}",
@@ -164,12 +165,17 @@
     }
 
     @Override
-    String peer() {
+    protected String peer() {
         return site + "/" + router;
     }
 
     @Override
-    void counted(String what) {
+    protected void counted(String what) {
         gateway.counters.add("far_" + what);
     }
+
+    @Override
+    protected Logger log() {
+        return LOG;
+    }
 }
--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -220,7 +220,7 @@
     public void cut(Lane l) {
         NearSession s = near.get(l);
         if (s != null) {
-            s.link.end(Ending.SILENT);
+            s.end(Ending.SILENT);
         }
     }
 
@@ -304,7 +304,7 @@
         s.on(link, times.handshakeUs());
         strangers.add(s);
         if (strangers.size() > MOST_STRANGERS) {
-            strangers.iterator().next().link.end(Ending.DONE);
+            strangers.iterator().next().end(Ending.DONE);
         }
     }
 
@@ -338,7 +338,7 @@
     void heard(FarSession s) {
         if (known.containsKey(s)) {
             loop.takeBack(known.put(s, loop.at(loop.now() + SILENT_BEATS * times.beatUs(),
-                    () -> s.link.end(Ending.SILENT))));
+                    () -> s.end(Ending.SILENT))));
         }
     }
 
@@ -389,7 +389,7 @@
 
     @Override
     public void close(Object session) {
-        ((FarSession) session).link.end(Ending.GONE);
+        ((FarSession) session).end(Ending.GONE);
     }
 
     // ---- The stop. ----
--- a/src/main/java/tinlink/gateway/Keys.java
+++ b/src/main/java/tinlink/gateway/Keys.java
@@ -1,72 +1,10 @@
 package tinlink.gateway;
 
-import java.nio.ByteBuffer;
-import java.security.GeneralSecurityException;
-import java.security.MessageDigest;
 import java.util.Map;
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
 
-/**
- * The keys that two sites share, by id: all of them are good for proving who one is, one is used to call
- * others. So a key is replaced without a cut: add the new one everywhere, then use it everywhere, then take
- * the old away.
- */
-public record Keys(Map<String, byte[]> ring, String use) {
-    private static final String HMAC = "HmacSHA256";
-
-    boolean has(String id) {
-        return ring.containsKey(id);
-    }
-
-    /** HMAC-SHA256 under the key of that id over a label and pieces, each preceded by its length. */
-    byte[] proof(String id, String label, byte[]... pieces) {
-        return mac(ring.get(id), label, pieces);
-    }
-
-    static byte[] mac(byte[] key, String label, byte[]... pieces) {
-        Mac mac = of(key);
-        mac.update(label.getBytes(java.nio.charset.StandardCharsets.US_ASCII));
-        for (byte[] piece : pieces) {
-            mac.update(ByteBuffer.allocate(4).putInt(piece.length).array());
-            mac.update(piece);
-        }
-        return mac.doFinal();
-    }
-
-    private static Mac of(byte[] key) {
-        try {
-            Mac mac = Mac.getInstance(HMAC);
-            mac.init(new SecretKeySpec(key, HMAC));
-            return mac;
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("this JVM has no " + HMAC,
-                    e); // Every Java platform has to have it.
-        }
-    }
-
-    /** Danger: a comparison that ends at the first wrong byte tells a guesser how far it was right. */
-    static boolean same(byte[] a, byte[] b) {
-        return MessageDigest.isEqual(a, b);
-    }
-
-    /**
-     * One direction of one connection after the handshake: a counted authentication code a message. Danger: a
-     * byte that the line has changed must not become a value, nor a message come twice or from elsewhere.
-     */
-    static final class Seal {
-        private final Mac mac;
-        private long count;
-
-        Seal(byte[] key) {
-            mac = of(key);
-        }
-
-        byte[] next(byte type, byte[] body, int from, int length) {
-            mac.update(ByteBuffer.allocate(9).putLong(count++).put(type).flip());
-            mac.update(body, from, length);
-            byte[] whole = mac.doFinal();
-            return java.util.Arrays.copyOf(whole, Wire.SEAL_BYTES);
-        }
+/** The keys that sites share. */
+public final class Keys extends tinlink.sealed.Keys {
+    public Keys(Map<String, byte[]> ring, String use) {
+        super(ring, use);
     }
 }
--- a/src/main/java/tinlink/gateway/NearSession.java
+++ b/src/main/java/tinlink/gateway/NearSession.java
@@ -9,6 +9,7 @@
 import tinlink.gateway.choice.Lane;
 import tinlink.net.BadMessage;
 import tinlink.net.Ending;
+import tinlink.sealed.Session;
 
 /**
  * The near side of a line to a far router: calls it, proves itself, passes parts on and hears of their fates.
@@ -23,7 +24,7 @@
     private long saidAt;
 
     NearSession(Gateway gateway, Lane lane, String site) {
-        super(gateway.loop, gateway.times.handshakeUs());
+        super(gateway.loop, gateway.times.handshakeUs(), Wire.MOST_BEFORE, Wire.MOST);
         this.gateway = gateway;
         this.lane = lane;
         this.site = site;
@@ -40,7 +41,7 @@
     }
 
     @Override
-    void said(byte type, ByteBuffer in, byte[] whole) throws BadMessage {
+    protected void said(byte type, ByteBuffer in, byte[] whole) throws BadMessage {
         if (!isProved()) {
             challenged(type, in, whole);
             return;
@@ -113,7 +114,7 @@
     }
 
     @Override
-    void over(Ending how) {
+    protected void over(Ending how) {
         boolean was = gateway.out(this);
         LOG.log(was ? Level.WARNING : Level.FINE,
                 "event=line_down site={0} router={1} line={2} how={3} open={4}",
@@ -124,12 +125,17 @@
     }
 
     @Override
-    String peer() {
+    protected String peer() {
         return site + "/" + lane.router.name;
     }
 
     @Override
-    void counted(String what) {
+    protected void counted(String what) {
         gateway.counters.add("near_" + what);
     }
+
+    @Override
+    protected Logger log() {
+        return LOG;
+    }
 }
--- a/src/main/java/tinlink/gateway/FrameIn.java
+++ b/src/main/java/tinlink/sealed/FrameIn.java
@@ -1,4 +1,4 @@
-package tinlink.gateway;
+package tinlink.sealed;
 
 import java.nio.ByteBuffer;
 import tinlink.net.BadMessage;
@@ -12,18 +12,22 @@
     }
 
     private final Sink sink;
-    private int most = Wire.MOST_BEFORE;
+    private final int mostProved;
+    private int most;
     private int head;
     private int length;
     private ByteBuffer body;
 
-    FrameIn(Sink sink) {
+    /** @param before how long a message may be until the other side has proved itself; then mostProved */
+    FrameIn(Sink sink, int before, int mostProved) {
         this.sink = sink;
+        most = before;
+        this.mostProved = mostProved;
     }
 
     /** The other side has proved itself: its messages may be long. */
     void proved() {
-        most = Wire.MOST;
+        most = mostProved;
     }
 
     boolean between() {
@@ -36,7 +40,7 @@
                 length = length << 8 | in.take() & 0xff;
                 if (++head == 4) {
                     if (length < 1 || length > most) {
-                        throw Wire.bad("a message of length " + length);
+                        throw Message.bad("a message of length " + length);
                     }
                     body = ByteBuffer.allocate(length);
                 }
--- a/src/main/java/tinlink/gateway/Session.java
+++ b/src/main/java/tinlink/sealed/Session.java
@@ -1,4 +1,4 @@
-package tinlink.gateway;
+package tinlink.sealed;
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
@@ -15,11 +15,10 @@
  * One connection between two routers, on either side: messages out and in, sealed once both have proved
  * themselves.
  */
-abstract class Session implements Link.Owner, FrameIn.Sink {
-    private static final Logger LOG = Logger.getLogger("tinlink.gateway");
+public abstract class Session implements Link.Owner, FrameIn.Sink {
     private final Loop loop;
-    private final FrameIn reader = new FrameIn(this);
-    Link link;
+    private final FrameIn reader;
+    protected Link link;
     private Keys.Seal outSeal;
     private Keys.Seal inSeal;
     /** Runs until both sides have proved themselves, and while a message has begun and not come whole. */
@@ -27,25 +26,29 @@
     private final long limitUs;
     private boolean proved;
 
-    /** @param limitUs a handshake, and each message, has to come whole within it */
-    Session(Loop loop, long limitUs) {
+    /**
+     * @param limitUs a handshake, and each message, has to come whole within it
+     * @param before how long a message may be until both have proved themselves; after that {@code most}
+     */
+    protected Session(Loop loop, long limitUs, int before, int most) {
         this.loop = loop;
         this.limitUs = limitUs;
+        reader = new FrameIn(this, before, most);
     }
 
-    void on(Link link, long handshakeUs) {
+    public void on(Link link, long handshakeUs) {
         this.link = link;
         within(handshakeUs);
     }
 
     /** The next message of the handshake has to come within that time. */
-    void within(long handshakeUs) {
+    protected void within(long handshakeUs) {
         loop.takeBack(limit);
         limit = loop.at(loop.now() + handshakeUs, () -> link.end(Ending.NOT_UP));
     }
 
     /** From here on each message is sealed; the two directions have keys of their own. */
-    void sealed(byte[] secret, boolean near) {
+    protected void sealed(byte[] secret, boolean near) {
         byte[] toFar = Keys.mac(secret, "to the far side");
         byte[] toNear = Keys.mac(secret, "to the near side");
         outSeal = new Keys.Seal(near ? toFar : toNear);
@@ -56,17 +59,29 @@
         limit = null;
     }
 
+    /** Ends the connection, if it is there yet. */
+    public void end(Ending how) {
+        if (link != null) {
+            link.end(how);
+        }
+    }
+
     /** It is, or was until it ended. */
-    boolean wasProved() {
+    public boolean wasProved() {
         return proved;
     }
 
-    boolean isProved() {
+    public boolean isProved() {
         return proved && !link.isOver();
     }
 
+    /** Bytes that wait to be taken by the kernel. */
+    public int backlog() {
+        return link.out().size();
+    }
+
     /** The place in the stream where the message ends. */
-    long send(byte type, byte[] body) {
+    public long send(byte type, byte[] body) {
         byte[] seal = outSeal == null ? new byte[0] : outSeal.next(type, body, 0, body.length);
         int length = 1 + body.length + seal.length;
         Ring out = link.out();
@@ -81,7 +96,7 @@
         try {
             reader.read(in);
         } catch (BadMessage | BufferUnderflowException e) {
-            LOG.log(Level.FINE, "event=spoilt_message peer={0} why=\"{1}\"",
+            log().log(Level.FINE, "event=spoilt_message peer={0} why=\"{1}\"",
                     new Object[] {peer(), e.getMessage()});
             counted("spoilt");
             link.end(Ending.BAD_INPUT);
@@ -97,10 +112,10 @@
     public void message(byte type, byte[] whole) throws BadMessage {
         int end = whole.length;
         if (proved) {
-            end -= Wire.SEAL_BYTES;
+            end -= Message.SEAL_BYTES;
             if (end < 1 || !Keys.same(inSeal.next(type, whole, 1, end - 1),
                     Arrays.copyOfRange(whole, end, whole.length))) {
-                throw Wire.bad("a wrong seal");
+                throw Message.bad("a wrong seal");
             }
         }
         if (!link.isOver()) {
@@ -115,11 +130,13 @@
     }
 
     /** @param whole type and body, as they came */
-    abstract void said(byte type, ByteBuffer body, byte[] whole) throws BadMessage;
+    protected abstract void said(byte type, ByteBuffer body, byte[] whole) throws BadMessage;
+
+    protected abstract void over(Ending how);
 
-    abstract void over(Ending how);
+    protected abstract String peer();
 
-    abstract String peer();
+    protected abstract void counted(String what);
 
-    abstract void counted(String what);
+    protected abstract Logger log();
 }
