Work on machines: membership, agreement, the order of grants, and plays of them in simulated time

Operators want to say which machines need work and have the routers settle when each goes. Here are the choices, free of I/O (SWIM with Lifeguard, entry of disks, the order with its bounds, joined sight, what a router does by it), the agreement on MicroRaft with its disk, sealed links between peers, and plays of up to a hundred routers over a lossy network (lab work-sim). Nothing of it runs in serve yet.

Found by the plays, each mended where its cause is: lines learned as a batch were passed on under one place and played twice; a voter was taken for an old copy by the term it had only asked about; a router that starts must not serve before its life is known; a restarted router drained by a grant that it read from its own old log; a failed machine that was granted and came back left its block with one holder.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,14 @@
 SEED ?= 1
 DELAY_MS ?= 200
 SECONDS ?= 20
+ROUTERS ?= 9
+SCHEDULES ?= 200
 # The same bounds as in deploy/balancer.toml, read from there so that they stand in one place.
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 SOURCES = $(shell git ls-files "*.java" .ci Makefile)
 
-.PHONY: build test lint run clean lab-gateway
+.PHONY: build test lint run clean lab-gateway lab-work-sim
 
 build:
 	$(BUILD)
@@ -28,5 +30,8 @@
 lab-gateway: build
 	java -jar target/tinlink.jar lab gateway --seed $(SEED) --delay-ms $(DELAY_MS) --seconds $(SECONDS)
 
+lab-work-sim: build
+	java -jar target/tinlink.jar lab work-sim --seed $(SEED) --routers $(ROUTERS) --schedules $(SCHEDULES)
+
 clean:
 	mvn -q clean
--- a/src/main/java/tinlink/cli/Commands.java
+++ b/src/main/java/tinlink/cli/Commands.java
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Parameters;
 import tinlink.lab.Emulation;
 import tinlink.lab.GatewayLab;
+import tinlink.lab.WorkSimLab;
 import tinlink.start.BadInput;
 
 /**
@@ -80,7 +81,7 @@
 
     @Command(name = "lab",
             description = "Experiments on emulated servers; each ends with one line of figures.",
-            subcommands = Gateway.class)
+            subcommands = {Gateway.class, WorkSim.class})
     static final class Lab implements Runnable {
         @Override
         public void run() {
@@ -107,4 +108,24 @@
             return new GatewayLab(seed, delayMs, seconds, out).run() ? 0 : 1;
         }
     }
+
+    /** Work on machines, in simulated time. */
+    @Command(name = "work-sim", description = "Routers that agree on work on machines, through seeded faults.")
+    static final class WorkSim implements Callable<Integer> {
+        @Option(names = "--seed", defaultValue = "1", description = "of the first schedule")
+        private long seed;
+        @Option(names = "--routers", defaultValue = "9", description = "in the fleet (default: ${DEFAULT-VALUE})")
+        private int routers;
+        @Option(names = "--schedules", defaultValue = "200", description = "how many are played")
+        private int schedules;
+        @Option(names = "--planted", description = "with a fault of the routers' that has to be found")
+        private boolean planted;
+        @Option(names = "--out", defaultValue = "target/lab/work-sim", description = "folder for the report")
+        private Path out;
+
+        @Override
+        public Integer call() throws Exception {
+            return new WorkSimLab(seed, routers, schedules, planted, out).run() ? 0 : 1;
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/tinlink/peers/DiskRecords.java
@@ -0,0 +1,41 @@
+package tinlink.peers;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import tinlink.store.Store;
+
+/** What a voter keeps, on a disk. */
+final class DiskRecords implements Kept.Records, java.io.Closeable {
+    private final Store store;
+
+    DiskRecords(Path folder, long mostBytes) throws IOException {
+        store = new Store(folder.resolve("agreement"), mostBytes);
+    }
+
+    /** As it was found. */
+    Kept kept() throws IOException {
+        Kept k = new Kept(this, store.snapshot(), store.records());
+        store.read();
+        return k;
+    }
+
+    @Override
+    public void append(byte[] record) throws IOException {
+        store.append(record);
+    }
+
+    @Override
+    public void sync() throws IOException {
+        store.sync();
+    }
+
+    @Override
+    public void all(byte[] state) throws IOException {
+        store.snapshot(state);
+    }
+
+    @Override
+    public void close() throws IOException {
+        store.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/peers/Identity.java
@@ -0,0 +1,62 @@
+package tinlink.peers;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import tinlink.peers.choice.Life;
+import tinlink.store.Store;
+
+/**
+ * Who this process is: a router's name, how often it was started with its folder, a word by chance, and the disk that
+ * the folder is. Counted up and synced before anything is said to anybody.
+ */
+public final class Identity implements Closeable {
+    private static final long MOST_BYTES = 1 << 16;
+    private static final int COMPACT_BYTES = 1 << 12;
+    private final Store store;
+    public final Life life;
+    public final long disk;
+    /** Nothing was there: a new disk, which has never voted. */
+    public final boolean fresh;
+
+    public Identity(Path folder, String name) throws IOException {
+        store = new Store(folder.resolve("self"), MOST_BYTES);
+        List<byte[]> all = store.records();
+        byte[] last = all.isEmpty() ? store.snapshot() : all.get(all.size() - 1);
+        SecureRandom random = new SecureRandom();
+        fresh = last == null;
+        long starts = 1;
+        long was = random.nextLong() & Long.MAX_VALUE;
+        if (last != null) {
+            ByteBuffer b = ByteBuffer.wrap(last);
+            starts = b.getLong() + 1;
+            was = b.getLong();
+            byte[] named = new byte[b.remaining()];
+            b.get(named);
+            if (!new String(named, java.nio.charset.StandardCharsets.UTF_8).equals(name)) {
+                store.close();
+                throw new IOException(folder + ": it belongs to router " + new String(named,
+                        java.nio.charset.StandardCharsets.UTF_8) + ", not " + name);
+            }
+        }
+        disk = was;
+        byte[] n = name.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        byte[] now = ByteBuffer.allocate(16 + n.length).putLong(starts).putLong(disk).put(n).array();
+        if (store.bytes() > COMPACT_BYTES) {
+            store.snapshot(now);
+        } else {
+            store.append(now);
+            store.sync();
+        }
+        store.read();
+        life = new Life(name, starts, random.nextLong());
+    }
+
+    @Override
+    public void close() throws IOException {
+        store.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/tinlink/peers/Kept.java
@@ -0,0 +1,241 @@
+package tinlink.peers;
+
+import io.microraft.RaftEndpoint;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import tinlink.net.BadMessage;
+import tinlink.sealed.Message;
+
+/**
+ * What a voter must not forget: who it is, its term and vote, the log and the last snapshot. Kept as records that
+ * are played through again at the start; the log below the last snapshot goes as that is complete.
+ */
+public final class Kept implements RaftStore {
+    /** Where records go; a store on disk, or one in memory in simulated time. */
+    public interface Records {
+        void append(byte[] record) throws IOException;
+
+        void sync() throws IOException;
+
+        /** Stands for all before it. */
+        void all(byte[] state) throws IOException;
+    }
+
+    private static final int ENDPOINT = 1;
+    private static final int GROUP = 2;
+    private static final int TERM = 3;
+    private static final int ENTRIES = 4;
+    private static final int CHUNK = 5;
+    private static final int CUT_FROM = 6;
+    private static final int CUT_UNTIL = 7;
+    private static final int NO_CHUNKS = 8;
+    private static final int MOST = 1 << 20;
+    private final Records records;
+    private RaftEndpointPersistentState endpoint;
+    private RaftGroupMembersView group;
+    private RaftTermPersistentState term;
+    /** As long as the log since its last snapshot. */
+    private final TreeMap<Long, LogEntry> log = new TreeMap<>();
+    /** Of the newest snapshot, and of one that is coming in; others are deleted. */
+    private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> chunks = new TreeMap<>();
+
+    /** @param state as {@link Records#all} last had it; null for none */
+    public Kept(Records records, byte[] state, List<byte[]> since) throws IOException {
+        this.records = records;
+        try {
+            if (state != null) {
+                ByteBuffer in = ByteBuffer.wrap(state);
+                while (in.hasRemaining()) {
+                    play(ByteBuffer.wrap(Message.bytes(in, in.getInt())));
+                }
+            }
+            for (byte[] r : since) {
+                play(ByteBuffer.wrap(r));
+            }
+        } catch (BadMessage | BufferUnderflowException e) {
+            throw new IOException("a record of the agreement is not as it was written: " + e.getMessage(), e);
+        }
+    }
+
+    /** Null where nothing was kept yet. */
+    RestoredRaftState restored() {
+        if (endpoint == null || group == null || term == null) {
+            return null;
+        }
+        SnapshotEntry snapshot = null;
+        for (Map<Integer, SnapshotChunk> all : chunks.descendingMap().values()) {
+            SnapshotChunk first = all.values().iterator().next();
+            if (all.size() == first.getSnapshotChunkCount()) {
+                snapshot = RaftCodec.MODEL.createSnapshotEntryBuilder().setIndex(first.getIndex())
+                        .setTerm(first.getTerm()).setSnapshotChunks(new ArrayList<>(all.values()))
+                        .setGroupMembersView(first.getGroupMembersView()).build();
+                break;
+            }
+        }
+        long from = snapshot == null ? 0 : snapshot.getIndex();
+        return new RestoredRaftState(endpoint, group, term, snapshot,
+                new ArrayList<>(log.tailMap(from, false).values()));
+    }
+
+    /** The highest term, and the end of the log: what others may have heard of before this process. */
+    public long[] reached() {
+        long last = log.isEmpty() ? chunks.isEmpty() ? 0 : chunks.lastKey() : log.lastKey();
+        return new long[] {term == null ? 0 : term.getTerm(), last};
+    }
+
+    private void play(ByteBuffer in) throws BadMessage {
+        switch (in.get()) {
+            case ENDPOINT -> {
+                Voter who = RaftCodec.voter(in);
+                endpoint = RaftCodec.MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(who)
+                        .setVoting(in.get() == 1).build();
+            }
+            case GROUP -> group = RaftCodec.view(in);
+            case TERM -> {
+                int number = in.getInt();
+                RaftEndpoint voted = in.get() == 0 ? null : RaftCodec.voter(in);
+                term = RaftCodec.MODEL.createRaftTermPersistentStateBuilder().setTerm(number).setVotedFor(voted)
+                        .build();
+            }
+            case ENTRIES -> {
+                for (int n = in.getInt(); n > 0; n--) {
+                    LogEntry e = RaftCodec.entry(in);
+                    log.put(e.getIndex(), e);
+                }
+            }
+            case CHUNK -> {
+                SnapshotChunk c = RaftCodec.chunk(in);
+                chunks.computeIfAbsent(c.getIndex(), i -> new TreeMap<>()).put(c.getSnapshotChunkIndex(), c);
+            }
+            case CUT_FROM -> log.tailMap(in.getLong(), true).clear();
+            case CUT_UNTIL -> log.headMap(in.getLong(), true).clear();
+            case NO_CHUNKS -> chunks.remove(in.getLong());
+            default -> throw Message.bad("a record of another kind");
+        }
+    }
+
+    private void keep(Message.Out o) throws IOException {
+        byte[] made = o.made();
+        try {
+            play(ByteBuffer.wrap(made));
+        } catch (BadMessage e) {
+            throw new IOException(e.getMessage(), e);
+        }
+        records.append(made);
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState e) throws IOException {
+        keep(endpoint(e));
+        records.sync();
+    }
+
+    private static Message.Out endpoint(RaftEndpointPersistentState e) {
+        return new Message.Out().byt(ENDPOINT).text(e.getLocalEndpoint().toString()).byt(e.isVoting() ? 1 : 0);
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView v) throws IOException {
+        keep(group(v));
+        records.sync();
+    }
+
+    private static Message.Out group(RaftGroupMembersView v) {
+        Message.Out o = new Message.Out().byt(GROUP);
+        RaftCodec.view(o, v);
+        return o;
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState t) throws IOException {
+        keep(term(t));
+        records.sync();
+    }
+
+    private static Message.Out term(RaftTermPersistentState t) {
+        Message.Out o = new Message.Out().byt(TERM).four(t.getTerm()).byt(t.getVotedFor() == null ? 0 : 1);
+        return t.getVotedFor() == null ? o : o.text(t.getVotedFor().toString());
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        keep(entries(entries));
+    }
+
+    private static Message.Out entries(List<LogEntry> entries) {
+        Message.Out o = new Message.Out().byt(ENTRIES).four(entries.size());
+        entries.forEach(e -> RaftCodec.entry(o, e));
+        return o;
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk c) throws IOException {
+        keep(chunk(c));
+    }
+
+    private static Message.Out chunk(SnapshotChunk c) {
+        Message.Out o = new Message.Out().byt(CHUNK);
+        RaftCodec.chunk(o, c);
+        return o;
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        keep(new Message.Out().byt(CUT_FROM).eight(index));
+    }
+
+    /** A snapshot stands for what was there before: the one moment at which the whole is written anew. */
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        keep(new Message.Out().byt(CUT_UNTIL).eight(index));
+        Message.Out all = new Message.Out();
+        part(all, endpoint(endpoint));
+        part(all, group(group));
+        if (term != null) {
+            part(all, term(term));
+        }
+        chunks.values().forEach(some -> some.values().forEach(c -> part(all, chunk(c))));
+        List<LogEntry> some = new ArrayList<>();
+        long bytes = 0;
+        for (Iterator<LogEntry> i = log.values().iterator(); i.hasNext();) {
+            LogEntry e = i.next();
+            some.add(e);
+            bytes += e.getOperation() instanceof String s ? s.length() : 0;
+            if (bytes > MOST || !i.hasNext()) {
+                part(all, entries(some));
+                some.clear();
+                bytes = 0;
+            }
+        }
+        records.all(all.made());
+    }
+
+    private static void part(Message.Out all, Message.Out one) {
+        byte[] b = one.made();
+        all.four(b.length).bytes(b);
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int count) throws IOException {
+        keep(new Message.Out().byt(NO_CHUNKS).eight(index));
+    }
+
+    @Override
+    public void flush() throws IOException {
+        records.sync();
+    }
+}
--- a/src/test/java/tinlink/RoomsTest.java
+++ b/src/test/java/tinlink/RoomsTest.java
@@ -27,6 +27,13 @@
                 .layer("benchlink").definedBy("tinlink.benchlink")
                 .layer("gateway").definedBy("tinlink.gateway")
                 .layer("choice").definedBy("tinlink.gateway.choice")
+                .layer("sealed").definedBy("tinlink.sealed")
+                .layer("peers").definedBy("tinlink.peers")
+                .layer("peers choice").definedBy("tinlink.peers.choice")
+                .layer("work").definedBy("tinlink.work")
+                .layer("work choice").definedBy("tinlink.work.choice")
+                .layer("store").definedBy("tinlink.store")
+                .layer("plays").definedBy("tinlink.lab.plays")
                 .layer("start").definedBy("tinlink.start")
                 .layer("net").definedBy("tinlink.net")
                 .layer("decision").definedBy("tinlink.decision")
@@ -40,6 +47,13 @@
                 .whereLayer("choice").mayOnlyBeAccessedByLayers("gateway", "router")
                 .whereLayer("http2").mayOnlyBeAccessedByLayers("router")
                 .whereLayer("http2 choice").mayOnlyBeAccessedByLayers("http2", "router")
+                .whereLayer("sealed").mayOnlyBeAccessedByLayers("gateway", "peers")
+                .whereLayer("peers").mayOnlyBeAccessedByLayers("work", "router", "plays")
+                .whereLayer("peers choice").mayOnlyBeAccessedByLayers("peers", "work", "router", "plays")
+                .whereLayer("work").mayOnlyBeAccessedByLayers("router", "plays")
+                .whereLayer("work choice").mayOnlyBeAccessedByLayers("work", "router", "plays")
+                .whereLayer("store").mayOnlyBeAccessedByLayers("peers", "router")
+                .whereLayer("plays").mayOnlyBeAccessedByLayers("lab")
                 .whereLayer("decision").mayNotAccessAnyLayer()
                 .check(ALL);
         slices().matching("tinlink.(*)..").should().beFreeOfCycles().check(ALL);
@@ -48,7 +62,7 @@
     @Test
     void whatDecidesDoesNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("tinlink.decision", "tinlink.gateway.choice",
-                "tinlink.http2.choice").should()
+                "tinlink.http2.choice", "tinlink.peers.choice", "tinlink.work.choice").should()
                 .dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..",
                 "java.util.logging..",
                         "java.util.concurrent..", "java.time..", "tinlink.net..").check(ALL);
--- a/src/test/java/tinlink/ScenarioTest.java
+++ b/src/test/java/tinlink/ScenarioTest.java
@@ -27,6 +27,7 @@
 import tinlink.gateway.choice.ChoicePlayer;
 import tinlink.http2.EnginePlayer;
 import tinlink.http2.choice.PoolPlayer;
+import tinlink.work.choice.OrderPlayer;
 import tinlink.net.Ending;
 import tinlink.net.ParserPlayer;
 import tinlink.start.BadInput;
@@ -55,6 +56,10 @@
         return Scenarios.sections(".pool");
     }
 
+    static List<Arguments> orderOfWork() throws IOException {
+        return Scenarios.sections(".work");
+    }
+
     static List<Arguments> http2() throws IOException {
         return Scenarios.sections(".h2");
     }
@@ -92,6 +97,13 @@
         new PoolPlayer().play(script);
     }
 
+    /** The order in which machines are taken out for work. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource
+    void orderOfWork(String title, List<String> script) {
+        new OrderPlayer().play(script);
+    }
+
     /** The gateway's choices, of the near side and of the far one. */
     @ParameterizedTest(name = "{0}")
     @MethodSource
