--- a/src/main/java/tinlink/cli/Commands.java
+++ b/src/main/java/tinlink/cli/Commands.java
@@ -110,11 +110,13 @@
     }
 
     /** Work on machines, in simulated time. */
-    @Command(name = "work-sim", description = "Routers that agree on work on machines, through seeded faults.")
+    @Command(name = "work-sim",
+            description = "Routers that agree on work on machines, through seeded faults.")
     static final class WorkSim implements Callable<Integer> {
         @Option(names = "--seed", defaultValue = "1", description = "of the first schedule")
         private long seed;
-        @Option(names = "--routers", defaultValue = "9", description = "in the fleet (default: ${DEFAULT-VALUE})")
+        @Option(names = "--routers", defaultValue = "9",
+                description = "in the fleet (default: ${DEFAULT-VALUE})")
         private int routers;
         @Option(names = "--schedules", defaultValue = "200", description = "how many are played")
         private int schedules;
--- a/src/main/java/tinlink/lab/plays/MembershipPlay.java
+++ b/src/main/java/tinlink/lab/plays/MembershipPlay.java
@@ -13,8 +13,8 @@
 import tinlink.peers.choice.Standing;
 
 /**
- * Routers that find each other over a lossy network, some killed, paused, cut off, started again, started twice.
- * What is checked is what they hold of each other against what they are.
+ * Routers that find each other over a lossy network, some killed, paused, cut off, started again, started
+ * twice. What is checked is what they hold of each other against what they are.
  */
 public final class MembershipPlay {
     private static final long ROUND = 200_000;
--- a/src/main/java/tinlink/lab/plays/Play.java
+++ b/src/main/java/tinlink/lab/plays/Play.java
@@ -4,8 +4,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Simulated time: what is due next happens next, in one thread, and the same seed gives the same trace. A digest
- * over all that was noted tells whether two plays were the same.
+ * Simulated time: what is due next happens next, in one thread, and the same seed gives the same trace. A
+ * digest over all that was noted tells whether two plays were the same.
  */
 final class Play {
     private record Event(long at, long order, Runnable what) implements Comparable<Event> {
--- a/src/main/java/tinlink/lab/plays/WorkPlay.java
+++ b/src/main/java/tinlink/lab/plays/WorkPlay.java
@@ -39,8 +39,8 @@
 
 /**
  * Work on machines in simulated time: the choices of the routers, agreeing by the real library over a lossy
- * network, data nodes that are there or not, and operators who take a machine only when they are told so. What is
- * checked is what happens to machines and calls, not what routers say of it.
+ * network, data nodes that are there or not, and operators who take a machine only when they are told so.
+ * What is checked is what happens to machines and calls, not what routers say of it.
  */
 public final class WorkPlay {
     private static final long MS = 1000;
@@ -54,7 +54,8 @@
     /** What befalls whom, and when; requests are events too, so that a schedule can be made smaller. */
     public record Event(long atUs, Kind kind, int who, int other) {
         /** Each is named for what happens. */
-        public enum Kind { ASK, ASK_BLOCK, CALL_OFF, KILL, RESTART, PAUSE, GO_ON, CUT, CUT_ONE_WAY, SPLIT, MEND,
+        public enum Kind { ASK, ASK_BLOCK, CALL_OFF, KILL, RESTART, PAUSE, GO_ON, CUT, CUT_ONE_WAY, SPLIT,
+                MEND,
             NODE_DIES, NODE_BACK, OLD_COPY, COPY, ALL_RESTART, LEADER_DIES }
 
         @Override
@@ -233,7 +234,8 @@
                 }
             };
             agreement = new Agreement(self(), voters().stream().map(SimRouter::self).toList(), kept,
-                    new WorkBook(BOUNDS), this, new Agreement.Ground(this, clock, new Random(random().nextLong()),
+                    new WorkBook(BOUNDS), this, new Agreement.Ground(this, clock, new Random(random()
+                            .nextLong()),
                     this::sendRaft, v -> true), 40);
             agreement.start();
         }
@@ -397,7 +399,8 @@
                 }
                 case OLD -> {
                     oldFound++;
-                    entry = null; // It never votes by this disk; an operator gives it a new one, here at the end.
+                    // It never votes by this disk; an operator gives it a new one, here at the end.
+                    entry = null;
                     spoilt = true;
                 }
                 default -> { }
@@ -607,7 +610,8 @@
         }
         for (int b = 0; b < size.blocks(); b++) {
             for (int h = 0; h < size.holders(); h++) {
-                Machine m = new Machine("n" + b + "-" + h, Machine.Kind.NODE, b, "z" + h % 3, "s" + h % 2, "n",
+                Machine m = new Machine("n" + b + "-" + h, Machine.Kind.NODE, b, "z" + h % 3, "s" + h % 2,
+                        "n",
                         false);
                 nodes.put(m.id(), new SimNode(m));
             }
@@ -737,7 +741,8 @@
             }
         }
         if (!allOver()) {
-            violations.add("stuck: " + asked.keySet().stream().filter(id -> truth().request(id).isEmpty()).toList()
+            violations.add("stuck: " + asked.keySet().stream().filter(id -> truth().request(id).isEmpty())
+                    .toList()
                     + " " + truth().open().stream().map(p -> p.request().id() + " " + p.machine() + " "
                     + p.state() + " " + p.why()).toList());
         }
@@ -748,7 +753,8 @@
     }
 
     private boolean allOver() {
-        return truth().open().isEmpty() && asked.keySet().stream().noneMatch(id -> truth().request(id).isEmpty());
+        return truth().open().isEmpty() && asked.keySet().stream().noneMatch(id -> truth().request(id)
+                .isEmpty());
     }
 
     private void heal() {
@@ -871,7 +877,8 @@
     }
 
     private SimRouter anyUp() {
-        List<SimRouter> all = routers.values().stream().filter(r -> r.up && !r.paused && !r.stoppedForWork).toList();
+        List<SimRouter> all = routers.values().stream().filter(r -> r.up && !r.paused && !r.stoppedForWork)
+                .toList();
         return all.isEmpty() ? null : all.get(play.random.nextInt(all.size()));
     }
 
--- a/src/main/java/tinlink/peers/Agreement.java
+++ b/src/main/java/tinlink/peers/Agreement.java
@@ -30,14 +30,16 @@
 import tinlink.peers.choice.Entry;
 
 /**
- * One voter's part in agreeing, on the library's implementation of Raft. Time, chance, the thread and the way to
- * others come from outside: in service a thread of its own and the peers' links, in a play the simulated ones.
+ * One voter's part in agreeing, on the library's implementation of Raft. Time, chance, the thread and the way
+ * to others come from outside: in service a thread of its own and the peers' links, in a play the simulated
+ * ones.
  *
  * <p>Source: D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014).
  */
 public final class Agreement {
     /** What an agreement runs on. */
-    public record Ground(RaftNodeExecutor executor, Clock clock, Random random, BiConsumer<Voter, RaftMessage> send,
+    public record Ground(RaftNodeExecutor executor, Clock clock, Random random, BiConsumer<Voter,
+            RaftMessage> send,
                   Predicate<Voter> reachable) {
     }
 
@@ -59,7 +61,8 @@
      * @param first who votes at the very first start of the group; of no account where something was kept
      * @param snapshotEvery lines between two snapshots
      */
-    public Agreement(Voter self, Collection<Voter> first, Kept kept, Agreed agreed, Hears hears, Ground ground,
+    public Agreement(Voter self, Collection<Voter> first, Kept kept, Agreed agreed, Hears hears,
+            Ground ground,
               int snapshotEvery) {
         this.agreed = agreed;
         this.hears = hears;
@@ -82,7 +85,8 @@
                 });
         RestoredRaftState restored = kept.restored();
         node = (restored != null ? b.setRestoredState(restored)
-                : b.setLocalEndpoint(self).setInitialGroupMembers(new ArrayList<RaftEndpoint>(first))).build();
+                : b.setLocalEndpoint(self).setInitialGroupMembers(new ArrayList<RaftEndpoint>(first)))
+                        .build();
     }
 
     private final class Machine implements StateMachine {
@@ -125,8 +129,8 @@
     }
 
     /**
-     * How far a message shows its sender's disk to be; null where it shows nothing. Asking whether one would be
-     * voted for names a term that is not on any disk yet.
+     * How far a message shows its sender's disk to be; null where it shows nothing. Asking whether one would
+     * be voted for names a term that is not on any disk yet.
      */
     public static Entry.Reached shows(RaftMessage m) {
         if (m instanceof AppendEntriesSuccessResponse a) {
@@ -157,8 +161,8 @@
     /**
      * Proposes a line.
      *
-     * @param told what is said to it once it is agreed, with null for why; or why it is not known whether it is,
-     *             or that it is not. On the executor's thread
+     * @param told what is said to it once it is agreed, with null for why; or why it is not known whether it
+     * is, or that it is not. On the executor's thread
      */
     public void propose(String line, BiConsumer<String, Throwable> told) {
         node.<String>replicate(line).whenComplete((o, e) -> told.accept(o == null ? null : o.getResult(), e));
--- a/src/main/java/tinlink/peers/Identity.java
+++ b/src/main/java/tinlink/peers/Identity.java
@@ -10,8 +10,8 @@
 import tinlink.store.Store;
 
 /**
- * Who this process is: a router's name, how often it was started with its folder, a word by chance, and the disk that
- * the folder is. Counted up and synced before anything is said to anybody.
+ * Who this process is: a router's name, how often it was started with its folder, a word by chance, and the
+ * disk that the folder is. Counted up and synced before anything is said to anybody.
  */
 public final class Identity implements Closeable {
     private static final long MOST_BYTES = 1 << 16;
--- a/src/main/java/tinlink/peers/Kept.java
+++ b/src/main/java/tinlink/peers/Kept.java
@@ -21,8 +21,8 @@
 import tinlink.sealed.Message;
 
 /**
- * What a voter must not forget: who it is, its term and vote, the log and the last snapshot. Kept as records that
- * are played through again at the start; the log below the last snapshot goes as that is complete.
+ * What a voter must not forget: who it is, its term and vote, the log and the last snapshot. Kept as records
+ * that are played through again at the start; the log below the last snapshot goes as that is complete.
  */
 public final class Kept implements RaftStore {
     /** Where records go; a store on disk, or one in memory in simulated time. */
@@ -108,7 +108,8 @@
             case TERM -> {
                 int number = in.getInt();
                 RaftEndpoint voted = in.get() == 0 ? null : RaftCodec.voter(in);
-                term = RaftCodec.MODEL.createRaftTermPersistentStateBuilder().setTerm(number).setVotedFor(voted)
+                term = RaftCodec.MODEL.createRaftTermPersistentStateBuilder().setTerm(number)
+                        .setVotedFor(voted)
                         .build();
             }
             case ENTRIES -> {
@@ -145,7 +146,8 @@
     }
 
     private static Message.Out endpoint(RaftEndpointPersistentState e) {
-        return new Message.Out().byt(ENDPOINT).text(e.getLocalEndpoint().toString()).byt(e.isVoting() ? 1 : 0);
+        return new Message.Out().byt(ENDPOINT).text(e.getLocalEndpoint().toString()).byt(e.isVoting() ? 1
+                : 0);
     }
 
     @Override
--- a/src/main/java/tinlink/peers/Pace.java
+++ b/src/main/java/tinlink/peers/Pace.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The agreement's own thread and clock. The library counts in whole seconds; here one of its seconds is as long as is
- * stated. The clock only goes on, whatever the wall clock does.
+ * The agreement's own thread and clock. The library counts in whole seconds; here one of its seconds is as
+ * long as is stated. The clock only goes on, whatever the wall clock does.
  */
 final class Pace extends Clock implements RaftNodeExecutor {
     private final double second;
--- a/src/main/java/tinlink/peers/PeerLinks.java
+++ b/src/main/java/tinlink/peers/PeerLinks.java
@@ -22,9 +22,9 @@
 import tinlink.sealed.Keys;
 
 /**
- * Sealed links with other routers of a cluster, opened when there is something to say and closed when there has been
- * nothing for a while. What is said may get lost, with its link or where too much waits; whoever speaks here says
- * again what matters. Runs on the loop's thread.
+ * Sealed links with other routers of a cluster, opened when there is something to say and closed when there
+ * has been nothing for a while. What is said may get lost, with its link or where too much waits; whoever
+ * speaks here says again what matters. Runs on the loop's thread.
  */
 public final class PeerLinks implements Network.Door {
     private static final Logger LOG = Logger.getLogger("tinlink.peers");
@@ -175,7 +175,9 @@
         t.bytes = 0;
     }
 
-    /** Danger: a cluster larger than was meant would hold all descriptors; who was spoken to least gives way. */
+    /**
+     * Danger: a cluster larger than was meant would hold all descriptors; who was spoken to least gives way.
+     */
     private void makeRoom() {
         while (to.size() >= most) {
             Iterator<To> first = to.values().iterator();
--- a/src/main/java/tinlink/peers/PeerSession.java
+++ b/src/main/java/tinlink/peers/PeerSession.java
@@ -12,8 +12,8 @@
 import tinlink.sealed.Session;
 
 /**
- * One connection between two peers. Who has called speaks on it, the other listens: so each way between two routers
- * is a connection of its own, and fails on its own.
+ * One connection between two peers. Who has called speaks on it, the other listens: so each way between two
+ * routers is a connection of its own, and fails on its own.
  */
 final class PeerSession extends Session {
     private static final Logger LOG = Logger.getLogger("tinlink.peers");
@@ -117,7 +117,8 @@
 
     @Override
     protected void over(Ending how) {
-        LOG.log(Level.FINE, "event=peer_link_down peer={0} called={1} how={2}", new Object[] {peer(), called, how});
+        LOG.log(Level.FINE, "event=peer_link_down peer={0} called={1} how={2}", new Object[] {peer(), called,
+                how});
         links.closed(this);
     }
 
--- a/src/main/java/tinlink/peers/Peers.java
+++ b/src/main/java/tinlink/peers/Peers.java
@@ -30,9 +30,9 @@
 import tinlink.sealed.Message;
 
 /**
- * The routers that this one knows, and what it agrees on with them: the hands of {@link Membership}, {@link Entry} and
- * {@link Agreement}. All state belongs to the loop's thread; the agreement has one of its own, for its disk blocks.
- * Nothing that serves waits for any of it.
+ * The routers that this one knows, and what it agrees on with them: the hands of {@link Membership}, {@link
+ * Entry} and {@link Agreement}. All state belongs to the loop's thread; the agreement has one of its own, for
+ * its disk blocks. Nothing that serves waits for any of it.
  */
 public final class Peers implements Membership.Hands, PeerLinks.Hears, Agreement.Hears, Loop.Turn {
     private static final Logger LOG = Logger.getLogger("tinlink.peers");
@@ -101,10 +101,12 @@
     private boolean over;
 
     /**
-     * @param book what is agreed on, as the loop has it; @param voted the same once more, for the agreement's thread
+     * @param book what is agreed on, as the loop has it; @param voted the same once more, for the agreement's
+     * thread
      * @throws IOException where the folder can't be used
      */
-    public Peers(Loop loop, Network network, Names names, Others others, Keys keys, Pacing pacing, Bounds bounds,
+    public Peers(Loop loop, Network network, Names names, Others others, Keys keys, Pacing pacing,
+            Bounds bounds,
                  Path folder, long seed, Agreed book, Agreed voted) throws IOException {
         this.loop = loop;
         this.names = names;
@@ -120,7 +122,8 @@
         pace = new Pace(pacing.secondUs());
         shown = new Shown(book, bounds.lines());
         links = new PeerLinks(loop, network, names.cluster(), identity.life, keys,
-                new PeerLinks.Times(pacing.handshakeUs(), pacing.idleUs(), pacing.roundUs() / 2), bounds.most(), this);
+                new PeerLinks.Times(pacing.handshakeUs(), pacing.idleUs(), pacing.roundUs() / 2),
+                        bounds.most(), this);
         counters = links.counters();
         links.listen(names.listen());
         String at = names.at().isEmpty() ? "127.0.0.1:" + links.address().getPort() : names.at();
@@ -129,7 +132,9 @@
                 new Membership.Pace(pacing.roundUs(), pacing.helpers(), bounds.most()), random.split());
     }
 
-    /** Names go with addresses, since the same router may be reached at different ones from different places. */
+    /**
+     * Names go with addresses, since the same router may be reached at different ones from different places.
+     */
     private static String at(String router, String address) {
         return router + "@" + address;
     }
@@ -166,7 +171,8 @@
     private void agree() {
         Collection<Voter> first = new ArrayList<>();
         others.voters().forEach(r -> first.add(new Voter(r, 0)));
-        agreement = new Agreement(new Voter(names.router(), 0), first, kept, voted, this, new Agreement.Ground(pace,
+        agreement = new Agreement(new Voter(names.router(), 0), first, kept, voted, this,
+                new Agreement.Ground(pace,
                 pace, new Random(random.nextLong()), this::sendRaft, v -> true), bounds.lines());
         agreement.start();
         LOG.log(Level.INFO, "event=votes router={0} life={1}", new Object[] {names.router(), identity.life});
@@ -258,8 +264,10 @@
                 agree();
             }
             case OLD, TWIN -> {
-                LOG.log(Level.SEVERE, "event=does_not_vote router={0} why=\"its folder is an old copy, or another "
-                        + "process runs with it; give it an empty one and its seat a new disk\"", names.router());
+                LOG.log(Level.SEVERE,
+                        "event=does_not_vote router={0} why=\"its folder is an old copy, or another "
+                        + "process runs with it; give it an empty one and its seat a new disk\"",
+                                names.router());
                 old = true;
                 entry = null;
             }
@@ -277,7 +285,8 @@
     /** Proposes a line to whoever leads; what is told is what is said to it, or why that is not known. */
     public void propose(String line, BiConsumer<String, String> told) {
         if (leads()) {
-            agreement.propose(line, (said, e) -> loop.ready(() -> told.accept(said, e == null ? null : e.toString())));
+            agreement.propose(line, (said, e) -> loop.ready(() -> told.accept(said, e == null ? null
+                    : e.toString())));
             return;
         }
         if (leader.isEmpty()) {
@@ -357,7 +366,8 @@
 
     @Override
     public void changed(Member m) {
-        LOG.log(Level.INFO, "event=peer router={0} life={1} standing={2}{3}", new Object[] {m.name(), m.life(),
+        LOG.log(Level.INFO, "event=peer router={0} life={1} standing={2}{3}", new Object[] {m.name(),
+                m.life(),
             m.standing(), m.twin() == null ? "" : " twin=" + m.twin()});
         counters.add("peers_" + m.standing().name().toLowerCase(java.util.Locale.ROOT));
     }
@@ -365,7 +375,8 @@
     @Override
     public void self(Life.Other how, Life other) {
         counters.add("peers_self_" + how.name().toLowerCase(java.util.Locale.ROOT));
-        LOG.log(Level.SEVERE, "event=another_of_this_router how={0} other={1} own={2}", new Object[] {how, other,
+        LOG.log(Level.SEVERE, "event=another_of_this_router how={0} other={1} own={2}", new Object[] {how,
+                other,
             identity.life});
         old = true;
     }
@@ -442,7 +453,8 @@
             case LEARN -> {
                 long after = in.getLong();
                 Shown.Piece p = shown.after(after);
-                Message.Out o = new Message.Out().text(leader).eight(after).byt(p == null ? 0 : p.whole() ? 2 : 1);
+                Message.Out o = new Message.Out().text(leader).eight(after).byt(p == null ? 0 : p.whole()
+                        ? 2 : 1);
                 if (p != null) {
                     o.eight(p.index()).longText(String.join("\n", p.lines()));
                 }
@@ -468,7 +480,8 @@
                     word(router, PROPOSED, new Message.Out().eight(n).byt(0).longText("it does not lead"));
                     return;
                 }
-                agreement.propose(line, (said, e) -> loop.ready(() -> word(router, PROPOSED, new Message.Out().eight(n)
+                agreement.propose(line, (said, e) -> loop.ready(() -> word(router, PROPOSED,
+                        new Message.Out().eight(n)
                         .byt(e == null ? 1 : 0).longText(e == null ? String.valueOf(said) : e.toString()))));
             }
             case PROPOSED -> {
--- a/src/main/java/tinlink/peers/RaftCodec.java
+++ b/src/main/java/tinlink/peers/RaftCodec.java
@@ -27,8 +27,8 @@
 import tinlink.sealed.Message;
 
 /**
- * The messages and records of the agreement, as bytes. Operations are texts, or a change of who votes. The group
- * is not written: a link between two routers is of one cluster.
+ * The messages and records of the agreement, as bytes. Operations are texts, or a change of who votes. The
+ * group is not written: a link between two routers is of one cluster.
  */
 public final class RaftCodec {
     static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
@@ -46,7 +46,8 @@
     public static byte[] bytes(RaftMessage m) {
         Message.Out o = new Message.Out();
         if (m instanceof AppendEntriesRequest r) {
-            head(o, 1, r).four(r.getPreviousLogTerm()).eight(r.getPreviousLogIndex()).eight(r.getCommitIndex())
+            head(o, 1, r).four(r.getPreviousLogTerm()).eight(r.getPreviousLogIndex())
+                    .eight(r.getCommitIndex())
                     .eight(r.getQuerySequenceNumber()).eight(r.getFlowControlSequenceNumber())
                     .four(r.getLogEntries().size());
             r.getLogEntries().forEach(e -> entry(o, e));
@@ -57,7 +58,8 @@
             head(o, 3, r).eight(r.getExpectedNextIndex()).eight(r.getQuerySequenceNumber())
                     .eight(r.getFlowControlSequenceNumber());
         } else if (m instanceof InstallSnapshotRequest r) {
-            head(o, 4, r).byt(r.isSenderLeader() ? 1 : 0).four(r.getSnapshotTerm()).eight(r.getSnapshotIndex())
+            head(o, 4, r).byt(r.isSenderLeader() ? 1 : 0).four(r.getSnapshotTerm())
+                    .eight(r.getSnapshotIndex())
                     .four(r.getTotalSnapshotChunkCount()).eight(r.getQuerySequenceNumber())
                     .eight(r.getFlowControlSequenceNumber());
             voters(o, r.getSnapshottedMembers());
@@ -106,7 +108,8 @@
                 for (int i = 0; i < count; i++) {
                     entries.add(entry(in));
                 }
-                yield MODEL.createAppendEntriesRequestBuilder().setGroupId(GROUP).setSender(from).setTerm(term)
+                yield MODEL.createAppendEntriesRequestBuilder().setGroupId(GROUP).setSender(from)
+                        .setTerm(term)
                         .setPreviousLogTerm(previousTerm).setPreviousLogIndex(previous).setCommitIndex(commit)
                         .setLogEntries(entries).setQuerySequenceNumber(query)
                         .setFlowControlSequenceNumber(flow).build();
@@ -141,7 +144,8 @@
             case 7 -> MODEL.createPreVoteResponseBuilder().setGroupId(GROUP).setSender(from).setTerm(term)
                     .setGranted(in.get() == 1).build();
             case 8 -> MODEL.createVoteRequestBuilder().setGroupId(GROUP).setSender(from).setTerm(term)
-                    .setLastLogTerm(in.getInt()).setLastLogIndex(in.getLong()).setSticky(in.get() == 1).build();
+                    .setLastLogTerm(in.getInt()).setLastLogIndex(in.getLong()).setSticky(in.get() == 1)
+                            .build();
             case 9 -> MODEL.createVoteResponseBuilder().setGroupId(GROUP).setSender(from).setTerm(term)
                     .setGranted(in.get() == 1).build();
             case 10 -> MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId(GROUP).setSender(from)
@@ -204,7 +208,8 @@
     static LogEntry entry(ByteBuffer in) throws BadMessage {
         long index = in.getLong();
         int term = in.getInt();
-        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(term).setOperation(operation(in)).build();
+        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(term).setOperation(operation(in))
+                .build();
     }
 
     private static void operation(Message.Out o, Object what) {
@@ -234,7 +239,8 @@
     }
 
     static void chunk(Message.Out o, SnapshotChunk c) {
-        o.eight(c.getIndex()).four(c.getTerm()).four(c.getSnapshotChunkIndex()).four(c.getSnapshotChunkCount());
+        o.eight(c.getIndex()).four(c.getTerm()).four(c.getSnapshotChunkIndex())
+                .four(c.getSnapshotChunkCount());
         view(o, c.getGroupMembersView());
         o.longText((String) c.getOperation());
     }
--- a/src/main/java/tinlink/peers/Shown.java
+++ b/src/main/java/tinlink/peers/Shown.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * What was agreed, as far as this router has heard of it, for itself and for routers that don't vote: the newest
- * lines one by one, and what stands after them as a whole.
+ * What was agreed, as far as this router has heard of it, for itself and for routers that don't vote: the
+ * newest lines one by one, and what stands after them as a whole.
  */
 public final class Shown {
     /** A line and its place in the order; as a whole the lines of what stands after that place. */
--- a/src/main/java/tinlink/peers/choice/Entry.java
+++ b/src/main/java/tinlink/peers/choice/Entry.java
@@ -5,13 +5,14 @@
 import java.util.Set;
 
 /**
- * Whether a disk that was found at the start may vote. Danger: a folder restored from an old copy has forgotten
- * votes that it gave and lines that it confirmed; voting by it, the same term gets two leaders. So the others are
- * asked first how far they have heard this disk to be, and which life of its router they know.
+ * Whether a disk that was found at the start may vote. Danger: a folder restored from an old copy has
+ * forgotten votes that it gave and lines that it confirmed; voting by it, the same term gets two leaders. So
+ * the others are asked first how far they have heard this disk to be, and which life of its router they know.
  *
- * <p>It may vote once all other voters that answer agree that they have heard of nothing later, and a majority of
- * the group, this one counted, has answered. What is not found out: an old copy whose missing votes and
- * confirmations were heard only by voters that are away, or have themselves lost their memory of them by a restart.
+ * <p>It may vote once all other voters that answer agree that they have heard of nothing later, and a
+ * majority of the group, this one counted, has answered. What is not found out: an old copy whose missing
+ * votes and confirmations were heard only by voters that are away, or have themselves lost their memory of
+ * them by a restart.
  */
 public final class Entry {
     /** What is known of this disk so far. */
@@ -20,8 +21,8 @@
     /**
      * How far a disk has been heard to be.
      *
-     * @param term the highest in which it said something; @param confirmed the end of the log that it confirmed
-     *             in that term
+     * @param term the highest in which it said something; @param confirmed the end of the log that it
+     * confirmed in that term
      */
     public record Reached(int term, long confirmed) {
         /** Whether a disk that is there can have said this. */
--- a/src/main/java/tinlink/peers/choice/Member.java
+++ b/src/main/java/tinlink/peers/choice/Member.java
@@ -11,7 +11,9 @@
     String at;
     /** When it came to stand so. */
     long since;
-    /** Who has found it silent of late; emptied as it is found alive, bounded by the confirmations asked for. */
+    /**
+     * Who has found it silent of late; emptied as it is found alive, bounded by the confirmations asked for.
+     */
     final Set<String> accusers = new LinkedHashSet<>();
     /** Two processes say that they are this start of this router; said once for each pair. */
     Life twin;
--- a/src/main/java/tinlink/peers/choice/Membership.java
+++ b/src/main/java/tinlink/peers/choice/Membership.java
@@ -15,10 +15,10 @@
  * Which routers there are, and which of them answer, as this one knows it. Inputs only update what is known;
  * decisions are pulled until there is none. Times are microseconds of one clock that never goes back.
  *
- * <p>Source: A. Das, I. Gupta and A. Motivala, "SWIM" (DSN 2002): one member is probed a round, through others
- * where it is silent, and what is found travels with probes and answers. A. Dadgar, J. Phillips and J. Currey,
- * "Lifeguard" (2018): who finds many silent doubts itself first, a suspicion ends the sooner the more have
- * confirmed it, and a suspect is told at the next word with it. Own: the lives of one router, told apart
+ * <p>Source: A. Das, I. Gupta and A. Motivala, "SWIM" (DSN 2002): one member is probed a round, through
+ * others where it is silent, and what is found travels with probes and answers. A. Dadgar, J. Phillips and J.
+ * Currey, "Lifeguard" (2018): who finds many silent doubts itself first, a suspicion ends the sooner the more
+ * have confirmed it, and a suspect is told at the next word with it. Own: the lives of one router, told apart
  * ({@link Life}), and a bound on all tables.
  */
 public final class Membership {
@@ -31,7 +31,9 @@
     /** And so many times longer before. */
     private static final double UNCONFIRMED = 4;
     private static final int CONFIRMED_BY = 3;
-    /** Who is dead or has left is known for so many suspicions more, so that old rumours don't bring it back. */
+    /**
+     * Who is dead or has left is known for so many suspicions more, so that old rumours don't bring it back.
+     */
     private static final int KEPT_SUSPICIONS = 20;
     /** Danger: a rumour can't have been of an incarnation that its life has not reached; a liar's may be. */
     private static final long MOST_INCARNATION = 1L << 40;
@@ -460,7 +462,9 @@
         return false;
     }
 
-    /** Danger: a router that hears nobody takes all others for dead. Helpers that are silent too tell it so. */
+    /**
+     * Danger: a router that hears nobody takes all others for dead. Helpers that are silent too tell it so.
+     */
     private void failed(Probe p) {
         if (p.target == null) {
             return; // A named router that has never been heard.
@@ -533,7 +537,9 @@
         outbox.add(new Out(PROBE, at, p.number, null));
     }
 
-    /** A named router that is no member as far as is known, or a member that is held for dead: a cut may heal. */
+    /**
+     * A named router that is no member as far as is known, or a member that is held for dead: a cut may heal.
+     */
     private String stranger() {
         List<String> all = new ArrayList<>();
         for (String s : seeds) {
@@ -575,7 +581,9 @@
         }
     }
 
-    /** What travels along: who we are; what is held of the receiver, where it stands ill; the least told rest. */
+    /**
+     * What travels along: who we are; what is held of the receiver, where it stands ill; the least told rest.
+     */
     private List<Rumor> with(String at) {
         List<Rumor> some = new ArrayList<>();
         some.add(self());
--- a/src/main/java/tinlink/peers/choice/Seats.java
+++ b/src/main/java/tinlink/peers/choice/Seats.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 /**
- * Which voter takes another one's place. A seat belongs to a router; it is given to another disk of the same router
- * once that router itself says that the one before is lost, or to another router where an operator says so. One
- * change at a time, and none that a majority of the group as it then is could not bear.
+ * Which voter takes another one's place. A seat belongs to a router; it is given to another disk of the same
+ * router once that router itself says that the one before is lost, or to another router where an operator
+ * says so. One change at a time, and none that a majority of the group as it then is could not bear.
  */
 public final class Seats {
     /** A change: the one goes, then the other comes. Either may be null. */
@@ -24,7 +24,8 @@
      * @param replaced by an operator's word: this router's seat goes to that router
      * @param wanted how many are to vote
      */
-    public static Change next(Map<String, String> seated, Map<String, String> shown, Map<String, String> replaced,
+    public static Change next(Map<String, String> seated, Map<String, String> shown, Map<String,
+            String> replaced,
                               int wanted) {
         int sound = 0;
         for (Map.Entry<String, String> e : seated.entrySet()) {
--- a/src/main/java/tinlink/store/Frames.java
+++ b/src/main/java/tinlink/store/Frames.java
@@ -4,8 +4,8 @@
 import java.util.zip.CRC32C;
 
 /**
- * Records as they stand in a file: a length, the record's number, a checksum over both and the bytes, the bytes.
- * All big-endian.
+ * Records as they stand in a file: a length, the record's number, a checksum over both and the bytes, the
+ * bytes. All big-endian.
  */
 final class Frames {
     static final int HEAD = 4 + 8 + 4;
@@ -45,8 +45,8 @@
     }
 
     /**
-     * Whether any whole record of a number past that one stands behind: then what is spoilt before it is no torn
-     * end.
+     * Whether any whole record of a number past that one stands behind: then what is spoilt before it is no
+     * torn end.
      */
     static boolean anyAfter(byte[] file, int offset, long number) {
         for (int at = offset + 1; at + HEAD <= file.length; at++) {
--- a/src/main/java/tinlink/store/Store.java
+++ b/src/main/java/tinlink/store/Store.java
@@ -17,13 +17,14 @@
 import java.util.TreeMap;
 
 /**
- * A folder that survives kills and crashes: a log of numbered records on top of a snapshot. What has been synced
- * is there again after any stop; a record that was torn by the stop is cut off, and with it nothing that had
- * been synced. Damage anywhere else is refused, with file and offset: to go on would be to forget silently.
+ * A folder that survives kills and crashes: a log of numbered records on top of a snapshot. What has been
+ * synced is there again after any stop; a record that was torn by the stop is cut off, and with it nothing
+ * that had been synced. Damage anywhere else is refused, with file and offset: to go on would be to forget
+ * silently.
  *
- * <p>Calls block. One thread at a time; a lock keeps a second process out. Once a write or sync has failed all
- * later calls fail too: after a failed sync nobody can tell what the disk holds, and to sync again would say that
- * nothing was lost.
+ * <p>Calls block. One thread at a time; a lock keeps a second process out. Once a write or sync has failed
+ * all later calls fail too: after a failed sync nobody can tell what the disk holds, and to sync again would
+ * say that nothing was lost.
  *
  * <p>Files: {@code log-N} begins with record N, {@code snap-N} stands for all before record N. A snapshot is
  * written beside, synced, renamed, and its folder synced, before anything that it replaces goes.
@@ -57,7 +58,8 @@
         this.folder = folder;
         this.mostBytes = mostBytes;
         Files.createDirectories(folder);
-        lockFile = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        lockFile = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE);
         try {
             lock = locked();
             recover();
@@ -81,7 +83,10 @@
 
     // ---- What was there. ----
 
-    /** As it was last given, null where there was none; and what came after it, in order. Read once, then freed. */
+    /**
+     * As it was last given, null where there was none; and what came after it, in order. Read once, then
+     * freed.
+     */
     public byte[] snapshot() {
         return snapshot;
     }
@@ -144,7 +149,8 @@
             }
             begin();
         } else {
-            log = FileChannel.open(live.get(live.lastKey()), StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+            log = FileChannel.open(live.get(live.lastKey()), StandardOpenOption.WRITE,
+                    StandardOpenOption.APPEND);
         }
         for (Path p : old) {
             Files.deleteIfExists(p);
@@ -157,7 +163,8 @@
         int body = head < 0 ? -1 : Frames.at(all, head, number);
         if (head != Frames.HEAD + SNAP.length || body < 0 || head + body != all.length
                 || !is(all, SNAP)) {
-            throw new Damaged(file.toString(), Math.max(0, head), "it is no whole snapshot of version " + VERSION);
+            throw new Damaged(file.toString(), Math.max(0, head), "it is no whole snapshot of version "
+                    + VERSION);
         }
         return java.util.Arrays.copyOfRange(all, head + Frames.HEAD, all.length);
     }
@@ -187,7 +194,8 @@
             // Danger: a record that was synced and is spoilt now looks like one torn by the stop, unless some
             // whole one stands behind it. What was torn was never synced, so nothing can stand behind.
             if (!last || Frames.anyAfter(all, at, next)) {
-                throw new Damaged(file.toString(), at, "record " + next + " is spoilt and others stand behind it");
+                throw new Damaged(file.toString(), at, "record " + next
+                        + " is spoilt and others stand behind it");
             }
             torn = all.length - at;
         }
@@ -296,7 +304,8 @@
 
     private void usable() throws IOException {
         if (broken != null) {
-            throw new IOException(folder + ": nothing is kept after an earlier failure: " + broken.getMessage(),
+            throw new IOException(folder + ": nothing is kept after an earlier failure: "
+                    + broken.getMessage(),
                     broken);
         }
     }
--- a/src/main/java/tinlink/work/choice/Holder.java
+++ b/src/main/java/tinlink/work/choice/Holder.java
@@ -8,12 +8,13 @@
 import java.util.TreeSet;
 
 /**
- * What one router does by the order that all agree on: which data nodes it leaves out, when it says that it is
- * done with one, and when it lets its own clients go. It acts by what it knows to be agreed, never by a time.
+ * What one router does by the order that all agree on: which data nodes it leaves out, when it says that it
+ * is done with one, and when it lets its own clients go. It acts by what it knows to be agreed, never by a
+ * time.
  *
- * <p>What it says may get lost, so it is said again while it still follows from what stands. An old copy of the
- * order does no harm: a grant that is over is refused as it is begun, and a router that drains by one that was
- * called off counts as away until it has said that it serves.
+ * <p>What it says may get lost, so it is said again while it still follows from what stands. An old copy of
+ * the order does no harm: a grant that is over is refused as it is begun, and a router that drains by one
+ * that was called off counts as away until it has said that it serves.
  */
 public final class Holder {
     /** What becomes of decisions. */
@@ -67,8 +68,8 @@
 
     /**
      * Danger: a router that has just started knows of no work, and nobody waits for its word, since only its
-     * earlier life is known; what it sends goes to machines that are out. So it serves once its life is agreed on,
-     * or has been awaited for long enough: serving never depends on agreement.
+     * earlier life is known; what it sends goes to machines that are out. So it serves once its life is
+     * agreed on, or has been awaited for long enough: serving never depends on agreement.
      */
     public boolean isKnown(Order order) {
         return order.lives(router, life);
--- a/src/main/java/tinlink/work/choice/Order.java
+++ b/src/main/java/tinlink/work/choice/Order.java
@@ -12,8 +12,9 @@
 
 /**
  * The order in which machines are taken out for work. All routers agree on the commands and on their order;
- * each plays them through this and comes to the same grants. Nothing here asks a clock: agreed time is the sum of
- * what leaders say has passed, by clocks that only go on, and it stands still while there is no leader.
+ * each plays them through this and comes to the same grants. Nothing here asks a clock: agreed time is the
+ * sum of what leaders say has passed, by clocks that only go on, and it stands still while there is no
+ * leader.
  *
  * <p>What is safe rests on the order of commands alone: a grant that has not been begun may end by time, one
  * that has counts as away until its machine has come back and been sound for as long as is stated.
@@ -169,7 +170,9 @@
         return Words.of("done", request, machine, lost ? "lost" : "back");
     }
 
-    /** Danger: a leader that stood still, or whose machine slept, would end grants that nobody could begin. */
+    /**
+     * Danger: a leader that stood still, or whose machine slept, would end grants that nobody could begin.
+     */
     private String tick(long passedUs) {
         now += Math.max(0, Math.min(passedUs, MOST_TICK));
         moveOn();
@@ -188,7 +191,8 @@
     }
 
     private String gone(String id) {
-        // Danger: a machine that is out for work is off the lists as well; forgotten, its block would look whole.
+        // Danger: a machine that is out for work is off the lists as well; forgotten, its block would look
+        // whole.
         if (away(id) == null && machines.remove(id) != null) {
             unsound.remove(id);
             soundSince.remove(id);
@@ -240,7 +244,8 @@
             return "too much work is asked for";
         }
         List<Piece> all = new ArrayList<>();
-        for (String id : r.machines().isEmpty() ? List.of("") : new ArrayList<>(new TreeSet<>(r.machines()))) {
+        for (String id : r.machines().isEmpty() ? List.of("")
+                : new ArrayList<>(new TreeSet<>(r.machines()))) {
             Piece p = new Piece(r, id, now, asked++);
             all.add(p);
             open.add(p);
@@ -297,8 +302,8 @@
     }
 
     /**
-     * This life of its holder acts by that grant from now on. What comes by an older grant is refused; and what a
-     * holder reads of work that an earlier life of it began, it may be reading from an old copy.
+     * This life of its holder acts by that grant from now on. What comes by an older grant is refused; and
+     * what a holder reads of work that an earlier life of it began, it may be reading from an old copy.
      */
     private String begin(String router, long fence, String life) {
         Piece p = away(router);
@@ -378,7 +383,8 @@
     }
 
     private void forget() {
-        for (Iterator<List<Piece>> all = requests.values().iterator(); all.hasNext() && pieces > bounds.kept();) {
+        for (Iterator<List<Piece>> all = requests.values().iterator(); all.hasNext()
+                && pieces > bounds.kept();) {
             List<Piece> one = all.next();
             if (one.stream().allMatch(Piece::over)) {
                 pieces -= one.size();
@@ -439,7 +445,8 @@
             }
             case RETURNING -> {
                 boolean warm = m != null && sound(p.machine) && (p.here || !m.isRouter())
-                        && now >= Math.max(p.since, soundSince.getOrDefault(p.machine, now)) + bounds.warmUs();
+                        && now >= Math.max(p.since, soundSince.getOrDefault(p.machine, now))
+                                + bounds.warmUs();
                 if (warm) {
                     ends(p, p.calledOff ? State.CALLED_OFF : State.BACK, p.calledOff ? p.why : "");
                 }
@@ -448,7 +455,9 @@
         }
     }
 
-    /** Danger: a failed machine is granted whatever its block lacks; come back, it is what the block has left. */
+    /**
+     * Danger: a failed machine is granted whatever its block lacks; come back, it is what the block has left.
+     */
     private boolean revived(Machine m) {
         return new Tally(bounds, machines.values(), x -> x.equals(m) || sound(x.id()) && away(x.id()) == null)
                 .without(m) != null;
@@ -459,8 +468,8 @@
         StringBuilder owed = new StringBuilder();
         Machine m = machines.get(p.machine);
         lives.forEach((router, life) -> {
-            // A router's clients are its own affair; a data node may be sent to by all routers but those that have
-            // said that they serve nobody, and have not been started again since.
+            // A router's clients are its own affair; a data node may be sent to by all routers but those that
+            // have said that they serve nobody, and have not been started again since.
             Piece own = away(router);
             boolean serves = m != null && m.isRouter() ? router.equals(p.machine)
                     : own == null || own.state == State.RETURNING || !own.clear.contains(router + " " + life);
--- a/src/main/java/tinlink/work/choice/Place.java
+++ b/src/main/java/tinlink/work/choice/Place.java
@@ -10,7 +10,8 @@
     /** All places that a machine is in. */
     static List<Place> of(Machine m) {
         if (!m.isRouter()) {
-            return List.of(new Place(Of.BLOCK, Integer.toString(m.cell())), new Place(Of.ZONE_NODES, m.zone()),
+            return List.of(new Place(Of.BLOCK, Integer.toString(m.cell())), new Place(Of.ZONE_NODES,
+                    m.zone()),
                     new Place(Of.SITE_NODES, m.site()));
         }
         Place zone = new Place(Of.ZONE_ROUTERS, m.zone());
--- a/src/main/java/tinlink/work/choice/Sight.java
+++ b/src/main/java/tinlink/work/choice/Sight.java
@@ -9,8 +9,8 @@
 import java.util.TreeSet;
 
 /**
- * What several routers see of machines, joined by the leader into what all are to agree on. One router's word is
- * not enough, in either direction; what is old counts for nothing. Times are microseconds of one clock.
+ * What several routers see of machines, joined by the leader into what all are to agree on. One router's word
+ * is not enough, in either direction; what is old counts for nothing. Times are microseconds of one clock.
  */
 public final class Sight {
     /** What one router says of one machine. */
@@ -48,7 +48,9 @@
         }
     }
 
-    /** What there is to propose, so that what stands becomes what is seen; nothing where they are the same. */
+    /**
+     * What there is to propose, so that what stands becomes what is seen; nothing where they are the same.
+     */
     public List<String> proposes(Order order, long now) {
         List<String> all = new ArrayList<>();
         machines(order, now, all);
@@ -73,7 +75,9 @@
         return all;
     }
 
-    /** Danger: lists differ by seconds; a node that one router has heard of first, or still has, is no change. */
+    /**
+     * Danger: lists differ by seconds; a node that one router has heard of first, or still has, is no change.
+     */
     private void machines(Order order, long now, List<String> all) {
         listedAt.values().removeIf(at -> now - at > oldUs);
         lists.keySet().retainAll(listedAt.keySet());
--- a/src/main/java/tinlink/work/choice/Words.java
+++ b/src/main/java/tinlink/work/choice/Words.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Words in a line, as they are agreed on and kept: parted by tabs, with tabs, ends of lines and \ escaped. */
+/**
+ * Words in a line, as they are agreed on and kept: parted by tabs, with tabs, ends of lines and \ escaped.
+ */
 public final class Words {
     private Words() {
     }
--- a/src/test/java/tinlink/peers/PeersTest.java
+++ b/src/test/java/tinlink/peers/PeersTest.java
@@ -30,10 +30,13 @@
 import tinlink.peers.choice.Standing;
 import tinlink.sealed.Keys;
 
-/** Peers on loopback sockets and real folders: agreeing through restarts, old copies, lost disks, wrong keys. */
+/**
+ * Peers on loopback sockets and real folders: agreeing through restarts, old copies, lost disks, wrong keys.
+ */
 @Timeout(60)
 class PeersTest {
-    private static final Keys KEYS = new Keys(Map.of("k", "0123456789abcdef".getBytes(StandardCharsets.US_ASCII)),
+    private static final Keys KEYS = new Keys(Map.of("k",
+            "0123456789abcdef".getBytes(StandardCharsets.US_ASCII)),
             "k");
     @TempDir
     Path folder;
@@ -75,7 +78,8 @@
             peers = new Peers(loop, network, new Peers.Names("test", name,
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), port), at.get(name)),
                     new Peers.Others(at, new TreeSet<>(at.keySet().stream().limit(voters).toList())), keys,
-                    new Peers.Pacing(50_000, 2, 50_000, 500_000, 2_000_000), new Peers.Bounds(64, 8 << 20, 20),
+                    new Peers.Pacing(50_000, 2, 50_000, 500_000, 2_000_000), new Peers.Bounds(64, 8 << 20,
+                            20),
                     where, name.hashCode(), book, new Lines());
             thread = new Thread(() -> loop.run(peers), name);
             thread.setDaemon(true);
@@ -227,9 +231,11 @@
         start("r0", 1);
         start("r1", 1);
         agrees(all.get("r1"), "a line");
-        all.put("r2", new One("r2", new Keys(Map.of("k", "another key......".getBytes(StandardCharsets.US_ASCII)),
+        all.put("r2", new One("r2", new Keys(Map.of("k",
+                "another key......".getBytes(StandardCharsets.US_ASCII)),
                 "k"), 1, folder.resolve("r2")));
-        until("it was refused", () -> all.get("r0").on(() -> all.get("r0").peers.counters().of("peers_wrong_proof"))
+        until("it was refused", () -> all.get("r0").on(() -> all.get("r0").peers.counters()
+                .of("peers_wrong_proof"))
                 + all.get("r2").on(() -> all.get("r2").peers.counters().of("peers_wrong_proof")) > 0);
         assertNull(standing(all.get("r0"), "r2"));
         assertEquals(List.of(), all.get("r2").book.lines());
--- a/src/test/java/tinlink/store/StoreTest.java
+++ b/src/test/java/tinlink/store/StoreTest.java
@@ -142,7 +142,10 @@
         }
     }
 
-    /** Stopped at each step of a snapshot: the one before it stands, or the new one does, never half of either. */
+    /**
+     * Stopped at each step of a snapshot: the one before it stands, or the new one does, never half of
+     * either.
+     */
     @Test
     void stopsWithinASnapshot() throws IOException {
         fill(0, 4);
@@ -169,7 +172,8 @@
             s.sync();
             s.append(new byte[300]);
             assertThrows(IOException.class, s::sync);
-            assertThrows(IOException.class, s::sync, "a failed sync is not tried again as if nothing was lost");
+            assertThrows(IOException.class, s::sync,
+                    "a failed sync is not tried again as if nothing was lost");
             assertThrows(IOException.class, () -> s.append(record(1)));
         }
         try (Store s = open()) {
--- a/src/test/java/tinlink/work/choice/OrderPlayer.java
+++ b/src/test/java/tinlink/work/choice/OrderPlayer.java
@@ -8,7 +8,10 @@
 import java.util.stream.Collectors;
 import tinlink.Scenarios;
 
-/** Plays a scenario of the order of work; docs/scenarios.md has the notation. Each step is written and read again. */
+/**
+ * Plays a scenario of the order of work; docs/scenarios.md has the notation. Each step is written and read
+ * again.
+ */
 public final class OrderPlayer {
     private Bounds bounds = new Bounds(2, 0, 0.5, 1_000_000, 4_000_000, 20_000_000, 100, 100);
     private Order order = new Order(bounds);
@@ -21,7 +24,8 @@
     private void line(String[] w) {
         switch (w[0]) {
             case "bounds" -> {
-                bounds = new Bounds(Integer.parseInt(w[1]), Double.parseDouble(w[2]), Double.parseDouble(w[3]),
+                bounds = new Bounds(Integer.parseInt(w[1]), Double.parseDouble(w[2]),
+                        Double.parseDouble(w[3]),
                         us(w[4]), us(w[5]), us(w[6]), Integer.parseInt(w[7]), Integer.parseInt(w[8]));
                 order = new Order(bounds);
             }
@@ -31,7 +35,8 @@
                 says(new Machine(w[1], Machine.Kind.ROUTER, -1, w[2], "s", "r", w.length > 3).words());
                 says(Order.lifeWords(w[1], "1"));
             }
-            case "ask" -> says(new Request(w[1], w[2].equals("-") ? List.of() : List.of(w[2].split(",")), us(w[3]),
+            case "ask" -> says(new Request(w[1], w[2].equals("-") ? List.of() : List.of(w[2].split(",")),
+                    us(w[3]),
                     w.length > 5 ? us(w[5]) : Long.MAX_VALUE, w.length > 4 ? Integer.parseInt(w[4]) : 5, "op",
                     "why").words());
             case "tick" -> {
@@ -44,7 +49,8 @@
             }
             case "is" -> assertEquals(w[2], state(w[1]), () -> w[1] + ": " + piece(w[1]).why());
             case "why" -> assertTrue(piece(w[1]).why().contains(rest(w, 2)), () -> piece(w[1]).why());
-            case "said" -> assertTrue(said.contains(rest(w, 1)) && said.isEmpty() == (w.length == 1), () -> said);
+            case "said" -> assertTrue(said.contains(rest(w, 1)) && said.isEmpty() == (w.length == 1),
+                    () -> said);
             case "fence" -> assertEquals(w[2], Long.toString(piece(w[1]).fence()));
             default -> says(Words.of((Object[]) w));
         }
