Watch: silent after 3 s, asked anew beside what hangs; whole list first after a reload

Ruled out: the lists were read as soon as they came. Cause: Roster took a watch for silent after three lines' time, 6 s, the moment at which a change counts as told, waited up to 0.75 s, and then had one connection that could hang for 6 s more; where lists are asked for, the module's wait grew to half of mustAskInMs. Any byte renewed the timer. After SIGHUP the new place was asked by the old one's revision. Where lists are asked for, a new process served by the list of its file. Change: 3 s without a line that could be used; then one more connection every 0.25 s (1 s where lists are asked for), two at a time, until one tells; whole list first after a move; objects bounded in bytes, read over several lines, a cut one spoils no other; clients wait for the list where it is asked for, too. The check 'it ends too soon' for a line that was cut was wrong once objects may go over lines: 'it does not end', when the next one begins, is as strict.

--- a/src/main/java/tinlink/emulator/EmulatedDiscovery.java
+++ b/src/main/java/tinlink/emulator/EmulatedDiscovery.java
@@ -66,6 +66,8 @@
     private final class Watch implements Ground.Owner, HttpReader.Sink {
         private final HttpReader reader = HttpReader.ofRequests(this);
         private Link link;
+        /** Else the whole list is wanted, once. */
+        private boolean standing;
 
         @Override
         public void on(Link link) {
@@ -83,8 +85,19 @@
             }
         }
 
+        @Override
+        public void first(String method, String target, String version) {
+            standing = target.contains("watch=1");
+        }
+
         @Override
         public void over() {
+            if (!standing) {
+                byte[] whole = object(true, entries.values()).getBytes(StandardCharsets.UTF_8);
+                link.out().put("HTTP/1.1 200 OK\r\nContent-Length: " + whole.length + "\r\n\r\n").put(whole);
+                link.later();
+                return;
+            }
             link.out().put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             line(object(true, entries.values()));
             watches.add(this);
--- a/src/main/java/tinlink/net/JsonReader.java
+++ b/src/main/java/tinlink/net/JsonReader.java
@@ -38,6 +38,11 @@
         return at == At.VALUE && open.isEmpty() && value == NONE;
     }
 
+    /** The value is whole; only blanks may follow. */
+    public boolean isOver() {
+        return at == At.DONE || at == At.WORD && open.isEmpty();
+    }
+
     public void read(ByteBuffer piece) throws BadMessage {
         while (piece.hasRemaining()) {
             read(piece.get());
--- a/src/main/java/tinlink/router/Roster.java
+++ b/src/main/java/tinlink/router/Roster.java
@@ -34,17 +34,19 @@
 /** The list of data nodes: what was known at the start, and the watch on discovery that keeps it up. */
 final class Roster {
     private static final Logger LOG = Logger.getLogger("tinlink.roster");
-    private static final int SILENT_LINES = 3;
-    private static final long FIRST_WAIT_US = Protocol.WATCH_LINE_US / 16;
-    /** Discovery's agent is on this router's own machine: asking it often costs nobody anything. */
-    private static final long LONGEST_WAIT_US = Protocol.WATCH_LINE_US / 4;
+    /**
+     * Danger: what a silent watch misses counts as told after three lines' time. Half of it is left for
+     * connections that are refused, hang, or are taken and say nothing.
+     */
+    private static final long SILENT_US = 3 * Protocol.WATCH_LINE_US / 2;
+    /** Asked for at the same time, the newest for at least half as long as each. */
+    private static final int MOST_ASKED = 2;
 
     private final Loop loop;
     private final Network network;
     private final ModuleTurn turn;
     private final PartSends sends;
     private InetSocketAddress discovery;
-    private final boolean pushed;
     private final SplittableRandom random;
     private final Numbers zones;
     private final Numbers kinds;
@@ -60,8 +62,16 @@
     private long nodesSeen;
     private Consumer<BitSet> hears = cells -> { };
     private long revision;
+    /** The revision is one of the place that is asked now. */
+    private boolean numbered = true;
+    /** The one that tells; null while none does. */
     private Watch watch;
-    private long waitUs = FIRST_WAIT_US;
+    /** Asked for and silent so far, the oldest first; a few, each leaves as it tells or ends. */
+    private final List<Watch> asked = new ArrayList<>();
+    /** When one more is asked for; null while one tells. */
+    private Loop.Timer next;
+    private final long askUs;
+    private final int mostObject;
     private boolean down;
     private Runnable whenHeard = () -> { };
 
@@ -83,13 +93,15 @@
     }
 
     Roster(Loop loop, Network network, ModuleTurn turn, PartSends sends, InetSocketAddress discovery,
-           boolean pushed, long seed, RouterStart.Names names) {
+           boolean pushed, long seed, int mostObject, RouterStart.Names names) {
         this.loop = loop;
         this.network = network;
         this.turn = turn;
         this.sends = sends;
         this.discovery = discovery;
-        this.pushed = pushed;
+        // Where lists are pushed, an agent on this router's own machine answers at once and at no cost.
+        askUs = Protocol.WATCH_LINE_US / (pushed ? 8 : 2);
+        this.mostObject = mostObject;
         random = new SplittableRandom(seed);
         this.zones = new Numbers(names.zones());
         this.kinds = new Numbers(names.kinds());
@@ -181,10 +193,10 @@
     // ---- News. ----
 
     /** One object of discovery's. What of it can't be used is left out and said; the list held stays. */
-    private void news(Object object, Aggregator.News whole) {
+    private boolean news(Object object, Aggregator.News whole) {
         if (!(object instanceof Map<?, ?> map) || !(map.get("targets") instanceof List<?> targets)) {
             LOG.warning("discovery: 'targets' is no list");
-            return;
+            return false;
         }
         boolean all = whole == Aggregator.News.CACHED || Boolean.TRUE.equals(map.get("all"));
         if (map.get("rev") instanceof Double rev) {
@@ -210,6 +222,7 @@
         tellCells();
         LOG.log(Level.INFO, "list {0}: {1} told, {2} nodes",
                 new Object[] {String.valueOf(revision), targets.size(), nodes.size()});
+        return true;
     }
 
     private void gone(String uid) {
@@ -290,18 +303,30 @@
 
     // ---- The watch. ----
 
-    /** Opens the watch, if none is open. */
+    /** Opens a watch, if none tells and none is asked for. */
     void follow() {
-        if (watch == null) {
-            Watch w = new Watch();
-            watch = w;
-            try {
-                w.link = network.connect(discovery, w);
-                w.expectLine();
-            } catch (IOException | RuntimeException e) {
-                LOG.log(Level.WARNING, "discovery: no connection", e);
-                lost(w, null);
-            }
+        if (watch == null && next == null) {
+            ask();
+        }
+    }
+
+    /**
+     * Asks for one more watch beside those that have been asked for and say nothing. Danger: a place that
+     * hangs, or whose discovery is away, takes connections and is silent; whoever waits on one of them alone,
+     * or on none for a while, hears of a drain long after it was told. The oldest gives way.
+     */
+    private void ask() {
+        next = loop.at(loop.now() + askUs - random.nextLong(askUs / 4), this::ask);
+        if (asked.size() == MOST_ASKED) {
+            asked.get(0).ends(Ending.SILENT);
+        }
+        Watch w = new Watch();
+        try {
+            w.link = network.connect(discovery, w);
+            asked.add(w);
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.FINE, "discovery: no connection", e);
+            lost(null);
         }
     }
 
@@ -313,67 +338,110 @@
         LOG.log(Level.INFO, "discovery: it moves to {0}, the list of {1} nodes is kept",
                 new Object[] {to, nodes.size()});
         discovery = to;
-        waitUs = FIRST_WAIT_US;
-        Watch old = watch;
-        watch = null;
-        if (old != null) {
-            loop.takeBack(old.silence);
-            old.link.end(Ending.GONE);
+        // Danger: the new place may number its lists otherwise. Changes since a number of the old one's are
+        // not what has changed for us; the whole list is.
+        numbered = false;
+        List<Watch> old = new ArrayList<>(asked);
+        if (watch != null) {
+            old.add(watch);
         }
-        follow();
+        // Danger: what the old place still says is old by now, and must not be taken for news.
+        watch = null;
+        asked.clear();
+        old.forEach(w -> w.ends(Ending.GONE));
+        loop.takeBack(next);
+        ask();
     }
 
-    /** Danger: routers that all come back at once; each waits a time of its own, longer each time. */
-    private void lost(Watch w, Ending how) {
-        if (watch != w) {
-            return;
+    /** This one tells from now on; what was asked for beside it is not needed. */
+    private void tells(Watch w) {
+        asked.remove(w);
+        List<Watch> others = List.copyOf(asked);
+        asked.clear();
+        watch = w;
+        down = false;
+        loop.takeBack(next);
+        next = null;
+        others.forEach(o -> o.ends(Ending.DONE));
+    }
+
+    private void ended(Watch w, Ending how) {
+        if (watch == w) {
+            watch = null;
+            lost(how);
+            // Danger: routers whose watches end at one moment, and who all come back at once.
+            next = loop.at(loop.now() + random.nextLong(askUs / 2), this::ask);
+        } else if (asked.remove(w)) {
+            lost(how);
         }
-        watch = null;
-        loop.takeBack(w.silence);
-        long us = waitUs / 2 + random.nextLong(waitUs);
-        waitUs = Math.min(2 * waitUs, LONGEST_WAIT_US);
+    }
+
+    private void lost(Ending how) {
         // Said once, until a line shows that discovery serves again.
         LOG.log(down ? Level.FINE : Level.WARNING,
                 "discovery: the watch ended ({0}), the list of {1} nodes is kept",
                 new Object[] {how, nodes.size()});
         down = true;
         turn.input(m -> m.nodes(Aggregator.News.FAILED));
-        if (pushed) {
-            loop.at(loop.now() + us, this::follow);
-        }
     }
 
-    /** One watch: a chunked answer, in it a JSON object a line. */
+    /**
+     * One watch: a chunked answer, in it a JSON object a line. Before it, where the place's numbers are not
+     * known, an answer that is the whole list.
+     */
     private final class Watch implements Link.Owner, HttpReader.Sink {
         private final HttpReader reader = HttpReader.ofAnswers(this);
-        private JsonReader line = new JsonReader();
+        /** What is read of an object; it may go over several lines, the first of which alone begins it. */
+        private JsonReader object = new JsonReader();
+        private boolean lineBegun;
+        private int objectBytes;
         private boolean bad;
+        private boolean watches;
         private Link link;
         private Loop.Timer silence;
 
-        private void expectLine() {
+        /** Danger: bytes that drip in, or noise, are no life: a line that could be read is. */
+        private void heard() {
+            if (!watches) {
+                return; // The whole list says nothing of what comes after it.
+            }
             loop.takeBack(silence);
-            silence = loop.at(loop.now() + SILENT_LINES * Protocol.WATCH_LINE_US,
-                    () -> link.end(Ending.SILENT));
+            silence = loop.at(loop.now() + SILENT_US, () -> ends(Ending.SILENT));
+            if (watch != this) {
+                tells(this);
+            }
+        }
+
+        private boolean isOurs() {
+            return watch == this || asked.contains(this);
+        }
+
+        private void ends(Ending how) {
+            loop.takeBack(silence);
+            link.end(how);
         }
 
         @Override
         public void up() {
-            link.out().put("GET /api/targets?watch=1&after=" + revision + " HTTP/1.1\r\nHost: "
-                    + discovery.getHostString() + "\r\n\r\n");
+            asks();
+        }
+
+        private void asks() {
+            watches = numbered;
+            link.out().put("GET /api/targets" + (watches ? "?watch=1&after=" + revision : "")
+                    + " HTTP/1.1\r\nHost: " + discovery.getHostString() + "\r\n\r\n");
             link.later();
         }
 
         @Override
         public void arrived(Ring in) {
-            expectLine();
             try {
-                while (in.size() > 0) {
+                while (in.size() > 0 && isOurs()) {
                     reader.read(in);
                 }
             } catch (BadMessage e) {
                 LOG.warning("discovery: " + e.getMessage());
-                link.end(Ending.BAD_INPUT);
+                ends(Ending.BAD_INPUT);
             }
         }
 
@@ -385,47 +453,97 @@
         }
 
         @Override
-        public void body(ByteBuffer piece) {
-            while (piece.hasRemaining()) {
+        public void body(ByteBuffer piece) throws BadMessage {
+            while (piece.hasRemaining() && isOurs()) {
                 byte b = piece.get();
+                if (++objectBytes > mostObject) {
+                    throw new BadMessage(502, "a list of over " + mostObject + " bytes");
+                }
                 if (b == '\n') {
                     lineOver();
-                } else if (!bad) {
-                    try {
-                        line.read(b);
-                    } catch (BadMessage e) {
-                        bad = true;
-                        LOG.warning("discovery: a line is left out: " + e.getMessage());
+                } else {
+                    if (watches && !lineBegun && b == '{' && !object.empty()) {
+                        leftOut("it does not end"); // An object begins here, so the one before was cut.
                     }
+                    lineBegun |= b != '\r';
+                    read(b);
                 }
             }
         }
 
-        private void lineOver() {
-            JsonReader whole = line;
-            boolean use = !bad && !whole.empty();
-            waitUs = FIRST_WAIT_US;
-            down = false;
-            line = new JsonReader();
+        private void read(byte b) {
+            try {
+                if (!bad) {
+                    object.read(b);
+                }
+            } catch (BadMessage e) {
+                leftOut(e.getMessage());
+                bad = true;
+            }
+        }
+
+        private void leftOut(String why) {
+            LOG.warning("discovery: a line is left out: " + why);
+            anew();
+        }
+
+        private void anew() {
+            object = new JsonReader();
+            objectBytes = 0;
             bad = false;
-            if (use) {
-                try {
-                    news(whole.value(), Aggregator.News.FULL);
+        }
+
+        /** Danger: what it holds must not be passed over, nor half of it pass for the whole. */
+        private void lineOver() {
+            boolean said = lineBegun;
+            lineBegun = false;
+            read((byte) '\n');
+            if (bad) {
+                anew();
+            } else if (object.isOver()) {
+                objectOver();
+            } else if (watches && !said) {
+                if (!object.empty()) {
+                    leftOut("it does not end"); // No line within a list is empty.
+                }
+                heard();
+            }
+        }
+
+        private void objectOver() {
+            try {
+                Object whole = object.value();
+                anew();
+                if (!watches && numbered) {
+                    return; // Another has told the whole list, perhaps a newer one.
+                }
+                if (news(whole, Aggregator.News.FULL)) {
+                    numbered = true;
+                    heard();
                     whenHeard.run();
-                } catch (BadMessage e) {
-                    LOG.warning("discovery: a line is left out: " + e.getMessage());
                 }
+            } catch (BadMessage e) {
+                leftOut(e.getMessage());
             }
         }
 
+        /** The whole list is in, and is watched from there on; a watch has no end. */
         @Override
         public void over() throws BadMessage {
-            throw new BadMessage(502, "the watch was ended");
+            if (watches) {
+                throw new BadMessage(502, "the watch was ended");
+            }
+            if (isOurs()) {
+                lineOver();
+                anew();
+                asks();
+            }
         }
 
         @Override
         public void ended(Ending how) {
-            lost(this, how);
+            loop.takeBack(silence);
+            Roster.this.ended(this, how);
         }
     }
 }
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -111,17 +111,16 @@
                 workKnown = false;
                 work.start(this::workKnown);
             }
+            roster.whenHeard(this::listHeard);
             if (start.pushed) {
-                roster.whenHeard(this::listHeard);
-                roster.follow();
-            } else {
-                listHeard = true; // Discovery is not asked: nothing is awaited.
+                roster.follow(); // Where lists are asked for, the module says when.
             }
             if (warms) {
                 beginWarmup(this::awaitList);
             } else {
                 awaitList();
             }
+            loop.ready(() -> { }); // The first turn is now: the module may want to ask for the list.
             loop.run(turn);
             if (notServed != null) {
                 throw notServed;
@@ -140,12 +139,14 @@
     /**
      * Danger: the list known at the start may be older than the grace that drains have, and what is sent by
      * it before discovery has spoken goes to nodes told as draining or gone long ago. Its agent answers
-     * at once, or is silent while discovery is down: no longer than a connection takes to come up.
+     * at once, or is silent while discovery is down: no longer than a connection takes to come up. Where
+     * lists are asked for, it answers many routers, and is given half of a line's time more.
      */
     private void awaitList() {
         warm = true;
         if (!listHeard) {
-            loop.at(loop.now() + start.links.connectUs(), this::listHeard);
+            loop.at(loop.now() + start.links.connectUs() + (start.pushed ? 0 : Protocol.WATCH_LINE_US / 2),
+                    this::listHeard);
         }
         serveWhenReady();
     }
@@ -256,7 +257,9 @@
         long kill = Math.min(start.longestUs, Protocol.KILL_LONGEST_US) + Protocol.KILL_AFTER_US;
         long last = loop.now() + LAST_TAKEN_US + start.longestUs;
         long door = loop.now() + Math.max(CLIENTS_COME_US, kill - 2 * start.longestUs / 3);
-        loop.at(loop.now() + CLIENTS_COME_US, () -> intake.takesUntil(last));
+        // Danger: what comes late after the SIGTERM and is still unanswered as the process is killed is lost.
+        long takes = Math.min(last, loop.now() + kill - (Protocol.KILL_AFTER_US - LAST_TAKEN_US));
+        loop.at(loop.now() + CLIENTS_COME_US, () -> intake.takesUntil(takes));
         loop.at(door, intake::closeDoor);
         loop.at(Math.max(door, loop.now() + LAST_TAKEN_US), () -> endWhenEmpty(last));
         intake.notReady();
--- a/src/main/java/tinlink/router/Stages.java
+++ b/src/main/java/tinlink/router/Stages.java
@@ -22,7 +22,7 @@
         intake = new Intake(loop, network, descriptors, reader, turn,
                 start.lookups.openCap(), start.links.connectUs(), start.mostReading, start.longestUs);
         roster = new Roster(loop, network, turn, sends, start.discovery, start.pushed, start.seed,
-                start.names);
+                (int) Math.min(Integer.MAX_VALUE, start.mostReading), start.names);
         sends.serves(intake);
     }
 }
--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -25,13 +25,17 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.logging.SimpleFormatter;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import tinlink.decision.Aggregator;
 import tinlink.decision.DataNode;
@@ -82,6 +86,12 @@
     private Router router;
     private Thread stopping;
     private boolean faulty;
+    /** While there is one, a turn of the router's waits for it after it has begun. */
+    private final AtomicReference<CountDownLatch> gate = new AtomicReference<>();
+    /** The same in a timer of the module's. */
+    private final AtomicReference<CountDownLatch> timers = new AtomicReference<>();
+    /** How often the loop has come to a closed one. */
+    private final AtomicInteger held = new AtomicInteger();
     /** Where the router listens; 0 for any, unless clients come before it does. */
     private int port;
     private final List<Thread> early = new ArrayList<>();
@@ -92,8 +102,8 @@
         LOG.setLevel(Level.FINE);
         LOG.addHandler(handler);
         String[] usual = {"sockets", "256", "memory", "192",
-            "deadline", "8000", "familyInfo.sets", "12", "familyInfo.reach", "2",
-            "familyInfo.slabs", "12", "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
+            "lists", "pushed", "deadline", "8000", "window", "8000",
+            "familyInfo.sets", "12", "familyInfo.reach", "2", "familyInfo.slabs", "12", "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
             "familyInfo.minShare", "[0.5,1,1,1]", "limits.connectTimeoutMs", "2000",
             "limits.connIdleMs", "30000", "limits.streamsPerConn", "8", "limits.tryLimit", "3",
             "limits.openCap", "40", "limits.cancel", "true", "limits.secondCopies", "true",
@@ -124,6 +134,16 @@
         switch (w[0]) {
             case "set" -> settings.put(w[1], rest);
             case "faulty" -> faulty = true;
+            case "hold" -> (line.endsWith(" timers") ? timers : gate).set(new CountDownLatch(1));
+            case "release" -> release();
+            case "step" -> {
+                int before = held.get();
+                timers.getAndSet(new CountDownLatch(1)).countDown();
+                for (int i = 0; held.get() == before && i < PATIENCE_MS; i++) {
+                    Thread.sleep(1);
+                }
+                assertEquals(before + 1, held.get(), "no further timer");
+            }
             case "pause" -> Thread.sleep(Long.parseLong(w[1]));
             case "within" -> {
                 long from = System.nanoTime();
@@ -156,7 +176,9 @@
             }
             case "crowd" -> {
                 for (int i = 0; i < Integer.parseInt(w[1]); i++) {
-                    clients.computeIfAbsent("crowd" + i, n -> new Client()).connect();
+                    Client c = clients.computeIfAbsent("crowd" + i, n -> new Client());
+                    c.connect();
+                    c.socket.getOutputStream().write(ParserPlayer.bytes(rest));
                 }
             }
             case "stop" -> {
@@ -174,9 +196,10 @@
                 assertEquals(false, stopping.isAlive(), "still stopping");
             }
             case "log" -> {
+                long until = System.nanoTime() + 1_000_000L * PATIENCE_MS;
                 String next = logged.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
                 while (next != null && !next.contains(rest)) {
-                    next = logged.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+                    next = logged.poll(until - System.nanoTime(), TimeUnit.NANOSECONDS);
                 }
                 assertEquals(true, next != null, "nothing like it was logged");
             }
@@ -184,8 +207,11 @@
             case "other" -> other.line(w[1], rest);
             case "configured" -> Files.writeString(config(), line.substring(w[0].length()).trim()
                     .replace("OTHER", "127.0.0.1:" + other.port()));
-            case "moves" -> Files.writeString(config(), Files.readString(config())
-                    .replace(":" + discovery.port() + "\"", ":" + other.port() + "\""));
+            case "moves" -> {
+                StandIn from = line.endsWith(" back") ? other : discovery;
+                Files.writeString(config(), Files.readString(config()).replace(":" + from.port() + "\"",
+                        ":" + (from == other ? discovery : other).port() + "\""));
+            }
             case "hangup" -> new ProcessBuilder("kill", "-HUP", "" + ProcessHandle.current().pid()).start();
             default -> {
                 if (standIns.containsKey(w[0])) {
@@ -206,7 +232,8 @@
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
                 + settings.get("sockets") + ",\"memory_mb\":" + settings.get("memory")
                 + "},\"known\":{\"rev\":41,\"all\":true,\"targets\":[" + known
-                + "]},\"settings\":{\"stepMs\":5,\"zone\":0,\"localities\":[\"east\",\"west\"],"
+                + "]},\"settings\":{\"discovery\":\"" + settings.get("lists")
+                + "\",\"stepMs\":5,\"zone\":0,\"localities\":[\"east\",\"west\"],"
                 + "\"models\":[\"m\"],\"familyInfo\":{" + group("familyInfo.") + "},\"limits\":{"
                 + group("limits.") + "},\"profiles\":["
                 + profile("any", "pure") + "," + profile("all", "pure") + ","
@@ -214,7 +241,8 @@
                 + "}}");
         RouterStart from = new RouterStart(Map.of("NODE_CONFIG", config().toString(), "NODE_LOG", "OFF",
                 "NODE_DISCOVERY", "127.0.0.1:" + discovery.port()));
-        router = new Router(from, faulty ? new Faulty(from.built.module) : from.built.module);
+        Aggregator module = faulty ? new Faulty(from.built.module) : from.built.module;
+        router = new Router(from, new Gated(module));
         early.forEach(Thread::start);
         if (warm) {
             router.warmUp();
@@ -246,13 +274,15 @@
     private String profile(String name, String effect) {
         return "{\"name\":\"" + name + "\",\"effect\":\"" + effect
                 + "\",\"deadlineMs\":" + settings.get("deadline")
-                + ",\"onTimeMs\":3000,\"windowMs\":8000,\"worth\":1}";
+                + ",\"onTimeMs\":3000,\"windowMs\":" + settings.get("window") + ",\"worth\":1}";
     }
 
-    /** A module with a fault that comes back at every pull while a lookup on shard 11 is in hand. */
-    private record Faulty(Aggregator module, List<Lookup> poison) implements Aggregator {
-        Faulty(Aggregator module) {
-            this(module, new ArrayList<>());
+    /** What stands before the module under test and hands on all it hears. */
+    private abstract static class Before implements Aggregator {
+        private final Aggregator module;
+
+        Before(Aggregator module) {
+            this.module = module;
         }
 
         @Override
@@ -268,9 +298,6 @@
         @Override
         public void part(Part p) {
             module.part(p);
-            if (p.shard == 11) {
-                poison.add(p.lookup);
-            }
         }
 
         @Override
@@ -301,6 +328,72 @@
         @Override
         public void clientGone(Lookup lk) {
             module.clientGone(lk);
+        }
+
+        @Override
+        public boolean decide(Host host) {
+            return module.decide(host);
+        }
+    }
+
+    /** Stops the loop between the begin of a turn and what it takes, or in a timer. */
+    private final class Gated extends Before {
+        Gated(Aggregator module) {
+            super(module);
+        }
+
+        @Override
+        public void clock(long nowUs) {
+            pass(gate);
+            super.clock(nowUs);
+        }
+
+        @Override
+        public void timer() {
+            pass(timers);
+            super.timer();
+        }
+
+        private void pass(AtomicReference<CountDownLatch> gate) {
+            CountDownLatch closed = gate.get();
+            held.addAndGet(closed == null ? 0 : 1);
+            try {
+                assertEquals(true, closed == null || closed.await(PATIENCE_MS, TimeUnit.MILLISECONDS),
+                        "never released");
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private void release() {
+        for (AtomicReference<CountDownLatch> one : List.of(gate, timers)) {
+            CountDownLatch closed = one.getAndSet(null);
+            if (closed != null) {
+                closed.countDown();
+            }
+        }
+    }
+
+    /** A module with a fault that comes back at every pull while a lookup on shard 11 is in hand. */
+    private static final class Faulty extends Before {
+        private final List<Lookup> poison = new ArrayList<>();
+
+        Faulty(Aggregator module) {
+            super(module);
+        }
+
+        @Override
+        public void part(Part p) {
+            super.part(p);
+            if (p.shard == 11) {
+                poison.add(p.lookup);
+            }
+        }
+
+        @Override
+        public void clientGone(Lookup lk) {
+            super.clientGone(lk);
             poison.remove(lk);
         }
 
@@ -309,7 +402,7 @@
             if (!poison.isEmpty()) {
                 throw new IllegalStateException("a fault for the test");
             }
-            return module.decide(host);
+            return super.decide(host);
         }
     }
 
@@ -328,6 +421,14 @@
         /** What discovery tells first, a while after it is asked; empty where it is silent. */
         private String first = "{\"rev\":41,\"all\":false,\"targets\":[]}";
         private int firstAfterMs;
+        /** Discovery takes connections and says nothing; a watch of its goes on saying this without end. */
+        private volatile boolean hangs;
+        /** Where discovery was asked most recently. */
+        private volatile Socket asks;
+        private String drips = "";
+        /** Which nodes the whole list has as draining, and has not. */
+        private volatile String drains = "";
+        private volatile String left = "";
 
         StandIn(String name, int cell) throws IOException {
             this.name = name;
@@ -383,11 +484,15 @@
                 InputStream in = s.getInputStream();
                 if (this == discovery || this == other) {
                     String path = head(in).split(" ")[1];
-                    s.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                            .getBytes(StandardCharsets.UTF_8));
-                    Thread.sleep(firstAfterMs);
-                    if (!first.isEmpty()) {
-                        chunks(s, first + "\n");
+                    asks = s;
+                    while (!path.contains("watch=") && !hangs) {
+                        s.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + whole().length()
+                                + "\r\n\r\n" + whole()).getBytes(StandardCharsets.UTF_8));
+                        heard.add(path);
+                        path = head(in).split(" ")[1];
+                    }
+                    if (!hangs) {
+                        watched(s);
                     }
                     heard.add(path); // Only now: the script may say a line as soon as it sees this.
                     in.read();
@@ -400,10 +505,42 @@
                 }
                 heard.add("closed");
             } catch (IOException | InterruptedException e) {
-                heard.add("closed");
+                if (s == asks || this != discovery && this != other || !(e instanceof EOFException)) {
+                    heard.add("closed");
+                }
             }
         }
 
+        private void watched(Socket s) throws IOException, InterruptedException {
+            s.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    .getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(firstAfterMs);
+            if (!first.isEmpty()) {
+                chunks(s, first + "\n");
+            }
+            if (!drips.isEmpty()) {
+                Thread t = new Thread(() -> {
+                    try {
+                        for (;;) {
+                            Thread.sleep(LATE_MS);
+                            chunks(s, drips);
+                        }
+                    } catch (IOException | InterruptedException e) {
+                        // The router has ended it.
+                    }
+                });
+                t.setDaemon(true);
+                t.start();
+            }
+        }
+
+        /** The whole list, in lines of its own and by numbers of its own. */
+        private String whole() {
+            return "{\n  \"rev\": 7,\n  \"all\": true,\n  \"targets\": [\n    " + standIns.values().stream()
+                    .filter(n -> !n.name.equals(left)).map(n -> n.entry(n.name.equals(drains) ? "terminating"
+                            : "in_service", 0)).collect(Collectors.joining(",\n    ")) + "\n  ]\n}";
+        }
+
         /** A frame as the script says it: letter, then id, shard, key and text of each part. */
         private String told(Socket s, String frame) {
             if (frame.charAt(0) != 'R') {
@@ -443,12 +580,21 @@
                 case "tells" -> chunks(newest(), change(rest) + "\n");
                 case "says" -> chunks(newest(), rest + "\n");
                 case "silent" -> first = "";
+                case "hangs" -> hangs = true;
+                case "answers" -> hangs = false;
+                case "drips" -> drips = new String(ParserPlayer.bytes(rest), StandardCharsets.UTF_8);
+                case "drains" -> drains = rest;
+                case "lacks" -> left = rest;
                 case "begins" -> {
                     first = change(rest);
                     firstAfterMs = LATE_MS;
                 }
                 case "links" -> assertEquals(Integer.parseInt(rest), links.size(), "links in all");
                 case "refuses" -> refuse();
+                case "returns" -> {
+                    server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+                    accept();
+                }
                 case "accepts" -> accept();
                 default -> throw new IllegalArgumentException(what);
             }
@@ -485,7 +631,7 @@
         }
 
         private Socket newest() {
-            return links.get(links.size() - 1);
+            return asks == null ? links.get(links.size() - 1) : asks;
         }
 
         private void says(String[] w) throws IOException {
@@ -577,11 +723,27 @@
                 case "<" -> assertEquals(rest, rest.equals("end") ? end()
                         : rest.equals("nothing") ? quiet() : answer());
                 case "leaves" -> socket.close();
+                case "taken" -> taken();
                 case "floods" -> assertEquals(true, flood() < 20 << 20, "so much was taken");
                 default -> throw new IllegalArgumentException(what);
             }
         }
 
+        /** Waits until the router's process has read all that was sent, as the kernel has it. */
+        private void taken() throws IOException, InterruptedException {
+            String ends = String.format(":%04X [0-9A-F]+:%04X [0-9A-F]+ [0-9A-F]+:00000000 ",
+                    router.address().getPort(), socket.getLocalPort());
+            for (int i = 0; i < PATIENCE_MS; i++) {
+                String all = Files.readString(Path.of("/proc/net/tcp"))
+                        + Files.readString(Path.of("/proc/net/tcp6"));
+                if (Pattern.compile(ends).matcher(all).find()) {
+                    return;
+                }
+                Thread.sleep(1);
+            }
+            throw new AssertionError("what was sent is not read");
+        }
+
         /** Sends until the router has ended the connection; how much went. */
         private int flood() {
             int sent = 0;
@@ -650,6 +812,7 @@
     @Override
     public void close() throws IOException {
         LOG.removeHandler(handler);
+        release();
         if (router != null) {
             router.end();
         }
