Windows of keys hold where a repeat leaves, and cold nodes' quotas go by own traffic

Cause: Rounds.mayCall checks the window as the repeat is decided, NodeLink.depart made its frame when the connection came up, up to a connect's time later. Change: Sent.effectUntil is asked as a frame is made, with a quarter of a connect's time for the way; the module leaves room for a turn; gateway and HTTP/2 go by the same. Scenario red before. Cold nodes: each router allowed itself 1/(latency x group), so routers that are more than they were told were over the budget: ColdSumTest, 30 modules told of two, up to 14 calls over N + 2 root N + 2 before; within it now, by what warm like nodes do for each. The scenarios of the guard named the old share; theirs are as strict: a stated number in the fall time, no more.

--- a/src/main/java/tinlink/decision/FastestValid.java
+++ b/src/main/java/tinlink/decision/FastestValid.java
@@ -510,10 +510,11 @@
             if (p.calls.size() >= (p.lookup.forwarded ? 1 : tryLimit) || p.out > 0 && !secondCopies) {
                 return false;
             }
-            // Sent one step of the clock later, it still has to fall within the window.
+            // Danger: a window that passes while it is on its way. What it may wait for in a turn of ours has
+            // to fit in.
             Index x = p.lookup.index;
             return x.effect == Index.Effect.IDEMPOTENT || p.calls.stream().allMatch(c -> neverRan(c)
-                    || x.effect == Index.Effect.FINGERPRINTED && now + stepUs <= c.sentAt + x.windowUs);
+                    || x.effect == Index.Effect.FINGERPRINTED && now + stallUs() <= c.sentAt + x.windowUs);
         }
 
         boolean mayGiveUpSilent(Part p) {
@@ -898,7 +899,7 @@
 
         /** The least share of its capacity that the node can have now. */
         double present(Seen s, long now) {
-            if (s.node.startedAt == Long.MIN_VALUE || now - s.node.startedAt >= coldUs) {
+            if (s.node.startedAt == Long.MIN_VALUE || fallUs <= 0 || now - s.node.startedAt >= coldUs) {
                 return 1;
             }
             double warmed = Math.max(0, (double) (now - s.node.startedAt) / coldUs);
@@ -925,23 +926,28 @@
                 s.coldChance = random.nextDouble();
                 s.likeRate = likeRate(s, nodes, now);
             }
-            return s.coldSends.size() + s.coldChance < ASKED * fallMultiple * present * fallUs * s.likeRate;
+            double usual = fallUs * s.likeRate;
+            double may = ASKED * fallMultiple * present * usual;
+            // A chance counts for those fall times alone in which a part comes up for it.
+            may = may < 1 ? Math.min(1, may / -Math.expm1(-usual)) : may;
+            return s.coldSends.size() + s.coldChance < may;
         }
 
-        /** Parts a microsecond that this router may count on a warm node of its kind to do for it. */
+        /**
+         * Parts a microsecond that this router may count on a warm node of its kind to do for it. Danger:
+         * where each router allows itself a part of a node by their stated number, and they are more, the sum
+         * is more; by what nodes do for it, the sum is what they do. Who knows nothing goes by the number.
+         */
         private double likeRate(Seen s, Iterable<Seen> nodes, long now) {
             double rate = 0;
-            double latency = Double.MAX_VALUE;
             int like = 0;
             for (Seen w : nodes) {
-                if (w.node.kind == s.node.kind && present(w, now) >= 1 && w.smoothedUs > 0) {
+                if (w.node.kind == s.node.kind && present(w, now) >= 1) {
                     rate += health.rate(w, now);
-                    latency = Math.min(latency, w.smoothedUs);
                     like++;
                 }
             }
-            return like == 0 ? 1 / (health.average(health.roundUs) * groupSize)
-                    : Math.max(rate / like, 1 / (latency * groupSize));
+            return rate == 0 ? 1 / (health.average(health.roundUs) * groupSize) : rate / like;
         }
 
         void sent(Seen s, long now) {
--- a/src/main/java/tinlink/http2/PartRequest.java
+++ b/src/main/java/tinlink/http2/PartRequest.java
@@ -21,9 +21,14 @@
     long place;
     long sentAt;
 
-    /** @param key null where its index needs none; @param until an answer counts, microseconds */
-    public PartRequest(Object what, int shard, String id, String key, byte[] text, long until) {
-        super(until);
+    /**
+     * @param key null where its index needs none
+     * @param until an answer counts, microseconds
+     * @param leavesBy it must not wait for longer
+     */
+    public PartRequest(Object what, int shard, String id, String key, byte[] text, long until,
+                       long leavesBy) {
+        super(Math.min(until, leavesBy));
         this.what = what;
         this.shard = shard;
         this.id = id;
--- a/src/main/java/tinlink/router/NodeLink.java
+++ b/src/main/java/tinlink/router/NodeLink.java
@@ -182,13 +182,14 @@
     }
 
     /**
-     * Danger: what waits for a connection may go out after its lookup has ended or its node was told as
-     * draining or gone.
+     * Danger: what waits for a connection may go out after its lookup has ended, its node was told as
+     * draining or gone, or its key's window has passed or will have when it arrives.
      */
     void dropStale(Bundle b) {
         for (Sent s : List.copyOf(b.sent)) {
             if (!s.over && (s.call.part.lookup.ended || s.call.part.satisfied
-                    || target.node.state != DataNode.State.READY)) {
+                    || target.node.state != DataNode.State.READY
+                    || sends.now() + sends.arrivesWithinUs() > s.effectUntil())) {
                 sends.over(s, Outcome.NOT_SENT, false);
             }
         }
--- a/src/main/java/tinlink/router/PartSends.java
+++ b/src/main/java/tinlink/router/PartSends.java
@@ -79,6 +79,11 @@
         return loop.at(now() + links.connectUs(), what);
     }
 
+    /** What leaves in this turn has arrived by then; a turn and a way to a node are a part of a connect. */
+    long arrivesWithinUs() {
+        return links.connectUs() / 4;
+    }
+
     int callsPerLink() {
         return links.callsPerLink();
     }
--- a/src/main/java/tinlink/router/Sent.java
+++ b/src/main/java/tinlink/router/Sent.java
@@ -1,5 +1,7 @@
 package tinlink.router;
 
+import java.util.OptionalLong;
+import tinlink.decision.Index;
 import tinlink.decision.PartCall;
 import tinlink.net.Loop;
 
@@ -26,4 +28,19 @@
     Segment segment() {
         return (Segment) call.part;
     }
+
+    /**
+     * Danger: a fingerprinted part that is held back until its key's window has passed has its effect again.
+     * The window is that of the first call that may have run; the end of time where none but this one may.
+     */
+    long effectUntil() {
+        Index x = call.part.lookup.index;
+        if (x.effect != Index.Effect.FINGERPRINTED) {
+            return Long.MAX_VALUE;
+        }
+        OptionalLong first = call.part.calls.stream()
+                .filter(c -> c != call && (c.outcome == null || !c.outcome.neverRan))
+                .mapToLong(c -> c.sentAt).min();
+        return first.isEmpty() ? Long.MAX_VALUE : x.windowUs + Math.min(first.getAsLong(), call.sentAt);
+    }
 }
--- a/src/main/java/tinlink/router/SiteLinks.java
+++ b/src/main/java/tinlink/router/SiteLinks.java
@@ -141,18 +141,11 @@
         gateway.send(to, p);
     }
 
-    /**
-     * Danger: a fingerprinted part that a line holds back until its key's window has passed has its effect
-     * again. The window is that of the first call that may have run, this one too: what comes later must not
-     * be first.
-     */
+    /** Danger: what comes later on a line must not be the first of its key to run. */
     private static long effectUntil(Sent s) {
         Index x = s.segment().lookup.index;
-        if (x.effect != Index.Effect.FINGERPRINTED) {
-            return Long.MAX_VALUE;
-        }
-        return x.windowUs + s.segment().calls.stream().filter(c -> c.outcome == null || !c.outcome.neverRan)
-                .mapToLong(c -> c.sentAt).min().orElse(s.call.sentAt);
+        return x.effect != Index.Effect.FINGERPRINTED ? Long.MAX_VALUE
+                : Math.min(s.effectUntil(), x.windowUs + s.call.sentAt);
     }
 
     @Override
--- a/src/main/java/tinlink/router/StreamSends.java
+++ b/src/main/java/tinlink/router/StreamSends.java
@@ -60,7 +60,8 @@
 
     void send(Target t, Sent s) {
         Query q = s.segment().query();
-        PartRequest r = new PartRequest(s, s.segment().shard, s.segment().id, q.key, q.text, s.until);
+        PartRequest r = new PartRequest(s, s.segment().shard, s.segment().id, q.key, q.text, s.until,
+                s.effectUntil() - sends.arrivesWithinUs());
         s.by = new Carried() {
             @Override
             public boolean waits() {
