--- a/src/main/java/tinlink/net/Link.java
+++ b/src/main/java/tinlink/net/Link.java
@@ -58,6 +58,8 @@
         private final boolean read;
         private long count;
         private Throwable failed;
+        /** Over in the kernel, and not yet taken by the loop; the one word that both threads have of it. */
+        private volatile boolean untaken;
 
         Under(boolean read) {
             this.read = read;
@@ -67,17 +69,20 @@
         public void completed(Long n, Void none) {
             count = n;
             failed = null;
+            untaken = true;
             loop.ready(this);
         }
 
         @Override
         public void failed(Throwable e, Void none) {
             failed = e;
+            untaken = true;
             loop.ready(this);
         }
 
         @Override
         public void run() {
+            untaken = false;
             if (read) {
                 readOver(count, failed);
             } else {
@@ -158,6 +163,14 @@
         return out;
     }
 
+    /**
+     * Danger: bytes that have been read and wait for the loop are no longer the other side's; ended now, the
+     * request that they are is lost, where an unread one goes elsewhere.
+     */
+    public boolean hasUntaken() {
+        return read.untaken;
+    }
+
     /** Nothing waits and nothing is under way: what is put now leaves at once. */
     public boolean isIdle() {
         return up && !writing && out.size() == 0 && !ended;
--- a/src/main/java/tinlink/net/Loop.java
+++ b/src/main/java/tinlink/net/Loop.java
@@ -20,6 +20,9 @@
     /** Said in the log, no more; the module judges its own stalls. */
     private static final long LATE_US = 100_000;
 
+    /** What becomes ready while a turn takes what is ready belongs to it, so many times at most. */
+    private static final int MOST_TAKES = 16;
+
     /** What a turn does before and after what was ready. */
     public interface Turn {
         void begins(long nowUs);
@@ -108,8 +111,15 @@
             ready.drainTo(batch);
             now = clock.nowUs();
             guarded(() -> turn.begins(now));
-            batch.forEach(Loop::guarded);
-            batch.clear();
+            // Danger: a request and the close behind it are two reads, of which the second is ready once the
+            // first is taken; decided between the two, parts would be sent for a client that has gone.
+            for (int takes = 1; !batch.isEmpty(); takes++) {
+                batch.forEach(Loop::guarded);
+                batch.clear();
+                if (takes < MOST_TAKES) {
+                    ready.drainTo(batch);
+                }
+            }
             long late = timers.isEmpty() ? 0 : now - timers.first().atUs;
             if (late > LATE_US) {
                 LOG.log(Level.WARNING, "the loop ran {0} ms late", late / 1000);
--- a/src/main/java/tinlink/net/Protocol.java
+++ b/src/main/java/tinlink/net/Protocol.java
@@ -6,8 +6,8 @@
     public static final int MOST_BODY = 64 << 10;
     /** The lines before a body or a value. */
     public static final int MOST_HEAD = 16 << 10;
-    /** Unread bytes that a link holds at most. */
-    static final int MOST_HELD = MOST_BODY;
+    /** Unread bytes that a link holds at most; with so many there it is not read, nor is its end seen. */
+    public static final int MOST_HELD = MOST_BODY;
     /** A client's connection with no open request may be closed after this. */
     public static final long CLIENT_FREE_US = 2_000_000;
     /** Whoever connects is owed an error or a close within this, unless a whole request of its is in hand. */
--- a/src/main/java/tinlink/router/Client.java
+++ b/src/main/java/tinlink/router/Client.java
@@ -105,6 +105,14 @@
             }
             lastAnswer(Reply.plain(500, "a fault of the router"));
         }
+        if (query != null && in.size() >= Protocol.MOST_HELD) {
+            // Danger: behind what a client has sent without waiting for an answer its close is not seen, and
+            // parts would be sent for it when it has long gone.
+            Query failed = query;
+            query = null;
+            intake.gone(failed);
+            lastAnswer(Reply.plain(400, "too much was sent before an answer"));
+        }
         while (lastAnswer && in.size() > 0 && unread < Protocol.MOST_BODY) {
             // Not read as a request, but taken: a reset would cut off the answer. Danger: what a client that
             // sends without end is sent takes the time of all others; past the bound its bytes stay
@@ -113,9 +121,12 @@
         }
         if (isIdle()) {
             intake.idle(this);
-        } else if (awaits() && known && !begun) {
-            awaits(intake.now()); // Its next request has begun, and has its own time.
-            begun = true;
+        } else if (awaits()) {
+            intake.sends(this);
+            if (known && !begun) {
+                awaits(intake.now()); // Its next request has begun, and has its own time.
+                begun = true;
+            }
         }
     }
 
@@ -124,6 +135,8 @@
         limit = null;
         if (!isIdle()) {
             lastAnswer(Reply.plain(408, "the request took too long"));
+        } else if (link.hasUntaken()) {
+            limit = intake.whenSaid(this::tooLong); // It has begun to say something in this very moment.
         } else if (known) {
             letGo();
         } else {
@@ -211,6 +224,7 @@
             return;
         }
         query = q;
+        intake.sent(this);
         endLimit();
         intake.take(q);
     }
--- a/src/main/java/tinlink/router/Intake.java
+++ b/src/main/java/tinlink/router/Intake.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,10 @@
     private final Set<Client> leaving = new LinkedHashSet<>();
     private final Set<Client> silent = new LinkedHashSet<>();
     private final Set<Client> idle = new LinkedHashSet<>();
+    /** Those of whose request a part has come, and since when; each leaves with the rest or its answer. */
+    private final Map<Client, Long> sending = new LinkedHashMap<>();
+    /** When the first of them may be closed, while no other gives way; null while none has to. */
+    private Loop.Timer room;
     /** Bytes of bodies that are being read. */
     private long reading;
     private boolean closing;
@@ -85,8 +90,11 @@
     }
 
     private void makeRoom() {
-        if (!descriptors.hasForClient()) {
-            closeIdle();
+        if (!descriptors.hasForClient() && !closeIdle() && !sending.isEmpty() && room == null) {
+            room = loop.at(sending.values().iterator().next() + lingerUs, () -> {
+                room = null;
+                makeRoom();
+            });
         }
     }
 
@@ -105,17 +113,29 @@
     /**
      * Closes one client connection that nothing is in hand on, which its client then opens anew. Danger:
      * clients that connect by the hundreds and say nothing would push out the usual ones; they go first,
-     * right after those that are over but for their end.
+     * right after those that are over but for their end. Last go those that have long been sending.
      */
     boolean closeIdle() {
         for (Set<Client> some : List.of(leaving, silent, idle)) {
             for (Client c : some) {
-                if (some != leaving || c.link().isIdle()) {
+                if (some == leaving ? c.link().isIdle() : !c.link().hasUntaken()) {
                     c.link().end(Ending.IDLE);
                     return true;
                 }
             }
         }
+        // Danger: clients that send byte by byte would hold all connections, and the usual ones find none. A
+        // request that is sent at all has come whole by now.
+        for (Map.Entry<Client, Long> slow : sending.entrySet()) {
+            Client c = slow.getKey();
+            if (slow.getValue() + lingerUs > loop.now()) {
+                break;
+            }
+            if (!c.link().hasUntaken()) {
+                c.link().end(Ending.IDLE);
+                return true;
+            }
+        }
         return false;
     }
 
@@ -127,15 +147,32 @@
     }
 
     void idle(Client c) {
+        sending.remove(c);
         if (clients.contains(c)) {
             idle.add(c);
             loop.ready(this::makeRoom);
+            if (closing) {
+                letGo(c);
+            }
+        }
+    }
+
+    /** A part of a request has come. */
+    void sends(Client c) {
+        if (clients.contains(c)) {
+            sending.putIfAbsent(c, loop.now());
         }
     }
 
+    /** It has come whole, or nothing more is read of it. */
+    void sent(Client c) {
+        sending.remove(c);
+    }
+
     void ended(Client c) {
         clients.remove(c);
         leaving.remove(c);
+        sending.remove(c);
         busy(c);
         descriptors.clientClosed();
         loop.ready(() -> network.accept(this));
@@ -148,6 +185,11 @@
         return loop.at(sinceUs + (3 * Protocol.CLIENT_FREE_US + Protocol.CLIENT_OWED_US) / 4, what);
     }
 
+    /** What has been read, and waits for the loop, has been taken by then. */
+    Loop.Timer whenSaid(Runnable what) {
+        return loop.at(loop.now() + lingerUs, what);
+    }
+
     long now() {
         return loop.now();
     }
@@ -159,6 +201,7 @@
     /** It has had its last answer; if it does not end the connection itself, we do. */
     void leave(Client c) {
         busy(c);
+        sending.remove(c);
         leaving.add(c);
         leave(c, loop.now() + longestUs);
     }
@@ -246,8 +289,15 @@
     void closeDoor() {
         closing = true;
         network.stopAccepting();
-        Set.copyOf(idle).forEach(Client::letGo);
-        Set.copyOf(silent).forEach(Client::letGo);
+        List.copyOf(idle).forEach(this::letGo);
+        List.copyOf(silent).forEach(this::letGo);
+    }
+
+    /** What has been read and waits for the loop is answered first, as the last on its connection. */
+    private void letGo(Client c) {
+        if (!c.link().hasUntaken()) {
+            c.letGo();
+        }
     }
 
     /** Clients are let in again, at that address. */
