Configuration: sizes that would fill the heap are refused by their key, each value spoilt in turn

SpoiltConfigTest: familyInfo.sets = ended in an OutOfMemoryError. Figures.count bounds what tables are made of; whole numbers over an int are refused. A file cut at every byte was refused before, too.

--- a/src/main/java/tinlink/start/Figures.java
+++ b/src/main/java/tinlink/start/Figures.java
@@ -12,6 +12,7 @@
  * router's file nested JSON; both become the same flat paths. Unknown ones are never asked for.
  */
 public final class Figures {
+    private static final int MOST_COUNTED = 100_000;
     private final String from;
     private final Map<String, String> pairs = new HashMap<>();
 
@@ -84,7 +85,23 @@
     }
 
     int whole(String path, int absent) {
-        return (int) Math.round(number(path, absent));
+        double value = number(path, absent);
+        if (Math.abs(value) > Integer.MAX_VALUE) {
+            throw bad(path, "is too large: " + pairs.get(path));
+        }
+        return (int) Math.round(value);
+    }
+
+    /** Danger: tables are made of this size, and one that fills the heap is no start that was refused. */
+    int count(String path, int absent, int least) {
+        int value = whole(path, absent);
+        if (value < least) {
+            throw bad(path, "is under " + least + ": " + value);
+        }
+        if (value > MOST_COUNTED) {
+            throw bad(path, "is over " + MOST_COUNTED + ": " + value);
+        }
+        return value;
     }
 
     long micros(String path, long absent) {
--- a/src/main/java/tinlink/start/ModuleStart.java
+++ b/src/main/java/tinlink/start/ModuleStart.java
@@ -14,7 +14,7 @@
     final long mostComeBackUs;
 
     public ModuleStart(long seed, Figures f) {
-        indexes = new Index[f.whole("profiles.count", 0)];
+        indexes = new Index[f.count("profiles.count", 0, 0)];
         long longestSoft = 1;
         for (int i = 0; i < indexes.length; i++) {
             indexes[i] = index(f, i);
@@ -26,7 +26,7 @@
         module = new FastestValid(
                 new FastestValid.Rounds(f.micros("stepMs", 1000), f.whole("limits.tryLimit", 1),
                         f.flag("limits.secondCopies"), f.flag("limits.cancel")),
-                new FastestValid.Replicas(f.whole("familyInfo.sets", 1), f.whole("familyInfo.reach", 1),
+                new FastestValid.Replicas(f.count("familyInfo.sets", 1, 1), f.whole("familyInfo.reach", 1),
                         f.whole("familyInfo.bundleMax", 1), f.micros("familyInfo.callMs", 0),
                         f.whole("zone", 0), f.number("charges.crossZone", 0), health),
                 health,
--- a/src/main/java/tinlink/start/RouterStart.java
+++ b/src/main/java/tinlink/start/RouterStart.java
@@ -125,7 +125,7 @@
             }
         }
         longestUs = longest;
-        lookups = new Lookups(indexes, least(f, "familyInfo.slabs", 1, 1),
+        lookups = new Lookups(indexes, f.count("familyInfo.slabs", 1, 1),
                 least(f, "limits.openCap", built.openCap, 1));
         mostOpen = Math.max(lookups.openCap(), f.whole("limits.mostOpen", lookups.openCap()));
         long connectUs = positive(f, "limits.connectTimeoutMs", 250_000);
@@ -134,7 +134,7 @@
         names = new Names(f.items("localities"), f.items("models"));
         pushed = f.text("discovery", "pushed").equals("pushed");
         mostComeBackUs = built.mostComeBackUs;
-        cells = f.whole("familyInfo.sets", 1);
+        cells = f.count("familyInfo.sets", 1, 1);
         String gatewayFile = env.getOrDefault("NODE_GATEWAY", "");
         String http2File = env.getOrDefault("NODE_HTTP2", "");
         http2 = http2File.isEmpty() ? null : new Http2Start(http2File);
