--- a/src/test/java/tinlink/RouterPlayer.java
+++ b/src/test/java/tinlink/RouterPlayer.java
@@ -103,7 +103,8 @@
         LOG.addHandler(handler);
         String[] usual = {"sockets", "256", "memory", "192",
             "lists", "pushed", "deadline", "8000", "window", "8000",
-            "familyInfo.sets", "12", "familyInfo.reach", "2", "familyInfo.slabs", "12", "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
+            "familyInfo.sets", "12", "familyInfo.reach", "2", "familyInfo.slabs", "12",
+            "familyInfo.bundleMax", "4", "familyInfo.completeFrom", "[0.5,1,1,1]",
             "familyInfo.minShare", "[0.5,1,1,1]", "limits.connectTimeoutMs", "2000",
             "limits.connIdleMs", "30000", "limits.streamsPerConn", "8", "limits.tryLimit", "3",
             "limits.openCap", "40", "limits.cancel", "true", "limits.secondCopies", "true",
