Requests are limited by the heap that they retain, not by bytes of bodies

Cause: the limit counted bytes of bodies and took objects to be up to 16 times as large. A list in a list takes 2 bytes and 88 of heap. Heads, buffers that grow, start lines kept by idle connections, and responses that a client does not read were not counted at all.

Change: RequestMemory holds one account a connection: input buffers, head, parsed body, text of the lookup in flight, unread response; together 3/8 of the heap. Over it slow connections give way first, the largest before others (503, nothing was sent). JsonReader is told whom to charge; a list of discovery may take a quarter of the heap. What a connection buffers while the router warms up counts too. After a last response 64 KiB are discarded and then nothing more is read.

--- a/src/main/java/tinlink/config/RouterConfig.java
+++ b/src/main/java/tinlink/config/RouterConfig.java
@@ -28,6 +28,19 @@
     private static final List<String> TOP_LEVEL_KEYS =
             List.of("name", "listen", "discovery", "seed", "limits");
 
+    /**
+     * The largest part of the process's memory that counts as its heap; the rest holds code, classes and
+     * threads.
+     */
+    private static final double HEAP_SHARE_OF_MEMORY = 1.0 / 3;
+
+    /** The part of the heap that clients' requests may retain together. */
+    private static final double REQUEST_HEAP_SHARE = 3.0 / 8;
+    /** The part of the heap that one object of discovery may take. */
+    private static final double ENDPOINT_LIST_HEAP_SHARE = 1.0 / 4;
+    /** The heap for each byte that one object of discovery may be long. */
+    private static final int HEAP_BYTES_PER_LIST_BYTE = 32;
+
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress discovery;
@@ -37,8 +50,12 @@
     private final Map<String, String> environment;
     public final int maxDescriptors;
     public final double memoryMb;
-    /** The maximum total size of the request bodies that are being read. */
-    public final long maxBodyBytesInFlight;
+    /** The heap that the requests of all clients may retain together, in bytes. */
+    public final long maxRequestHeapBytes;
+    /** The maximum length of one object that discovery sends, in bytes. */
+    public final long maxEndpointListBytes;
+    /** The heap that one object of discovery may take while it is parsed, in bytes. */
+    public final long maxEndpointListHeapBytes;
     /** Whether discovery pushes changes; otherwise the decision module determines when to poll. */
     public final boolean isDiscoveryPushed;
 
@@ -119,7 +136,10 @@
         discovery = discovery(topLevel, previous);
         logLevel = level(environment.getOrDefault("NODE_LOG", "INFO"));
         memoryMb = topLevel.number("limits.memory_mb", 192);
-        maxBodyBytesInFlight = maxBodyBytes(topLevel, memoryMb);
+        long heapBytes = heapBytes(topLevel, memoryMb);
+        maxRequestHeapBytes = (long) (heapBytes * REQUEST_HEAP_SHARE);
+        maxEndpointListHeapBytes = (long) (heapBytes * ENDPOINT_LIST_HEAP_SHARE);
+        maxEndpointListBytes = heapBytes / HEAP_BYTES_PER_LIST_BYTE;
         maxDescriptors = atLeast(topLevel, "limits.sockets", 1024, 64);
         cachedEndpoints = tree.get("known") instanceof Map<?, ?> map ? map : Map.of();
         FlatSettings settings = settings(tree);
@@ -215,14 +235,11 @@
                 : address(topLevel, "discovery", fileDiscovery);
     }
 
-    /**
-     * Returns the limit on bodies in flight. The objects that are built from a body while it is
-     * read take up to 16 times its size, and half of the heap is reserved for other uses.
-     */
-    private static long maxBodyBytes(FlatSettings topLevel, double memoryMb) {
-        long bytes =
-                (long) Math.min(Runtime.getRuntime().maxMemory() / 32.0, memoryMb * (1 << 20) / 96);
-        if (bytes <= 0) {
+    /** Returns the heap that the limits of messages are shares of, in bytes. */
+    private static long heapBytes(FlatSettings topLevel, double memoryMb) {
+        long shareOfMemory = (long) (memoryMb * (1 << 20) * HEAP_SHARE_OF_MEMORY);
+        long bytes = Math.min(Runtime.getRuntime().maxMemory(), shareOfMemory);
+        if (bytes < HEAP_BYTES_PER_LIST_BYTE) {
             throw topLevel.invalid("limits.memory_mb", "is too small to serve any lookup");
         }
         return bytes;
--- a/src/main/java/tinlink/net/Connection.java
+++ b/src/main/java/tinlink/net/Connection.java
@@ -43,6 +43,9 @@
     private boolean writing;
     private boolean writeScheduled;
     private boolean closed;
+    /** Whether no further bytes are read, although the connection is open. */
+    private boolean readingStopped;
+
     private boolean lastReadFilledBuffer;
     /** Whether the last write was partial: the kernel took fewer bytes than it was offered. */
     private boolean writeFellShort;
@@ -52,52 +55,8 @@
     private long submittedBytes;
     private long acceptedAtUs;
 
-    /**
-     * A read or write in progress. The event loop's queue publishes {@code count} and {@code failure} to the
-     * loop's thread.
-     */
-    private final class PendingOperation implements CompletionHandler<Long, Void>, Runnable {
-        private final boolean isRead;
-        private long count;
-        private Throwable failure;
-        /**
-         * Whether the operation has completed but the loop has not yet processed the result. This is the only
-         * field that both threads read and write without the queue.
-         */
-        private volatile boolean unprocessed;
-
-        PendingOperation(boolean read) {
-            this.isRead = read;
-        }
-
-        @Override
-        public void completed(Long n, Void noResult) {
-            count = n;
-            failure = null;
-            unprocessed = true;
-            loop.execute(this);
-        }
-
-        @Override
-        public void failed(Throwable e, Void noResult) {
-            failure = e;
-            unprocessed = true;
-            loop.execute(this);
-        }
-
-        @Override
-        public void run() {
-            unprocessed = false;
-            if (isRead) {
-                readCompleted(count, failure);
-            } else {
-                writeCompleted(count, failure);
-            }
-        }
-    }
-
-    private final PendingOperation pendingRead = new PendingOperation(true);
-    private final PendingOperation pendingWrite = new PendingOperation(false);
+    private final PendingOperation pendingRead;
+    private final PendingOperation pendingWrite;
 
     private Connection(
             EventLoop loop,
@@ -109,6 +68,8 @@
         this.listener = listener;
         in = new RingBuffer(bufferPool);
         out = new RingBuffer(bufferPool);
+        pendingRead = new PendingOperation(loop, this::readCompleted);
+        pendingWrite = new PendingOperation(loop, this::writeCompleted);
     }
 
     /** Creates a connection for an accepted channel; {@link #start} opens it. */
@@ -192,7 +153,7 @@
      * right after the call.
      */
     public boolean hasUnprocessedRead() {
-        return pendingRead.unprocessed;
+        return pendingRead.isUnprocessed();
     }
 
     /** Returns whether no byte waits and no write is in progress, so that new bytes are written at once. */
@@ -278,7 +239,7 @@
     }
 
     private void read() {
-        if (closed || reading) {
+        if (closed || reading || readingStopped) {
             return;
         }
         in.shrink();
@@ -311,6 +272,11 @@
         resumeReading();
     }
 
+    /** Reads nothing more until the connection is closed; the end of the peer's stream goes unnoticed. */
+    public void stopReading() {
+        readingStopped = true;
+    }
+
     /** Passes the buffered bytes to the listener and continues reading. */
     public void resumeReading() {
         try {
--- a/src/main/java/tinlink/net/HttpReader.java
+++ b/src/main/java/tinlink/net/HttpReader.java
@@ -41,13 +41,18 @@
         TRAILERS
     }
 
+    /** A line buffer of a larger capacity is not kept after the message, in bytes. */
+    private static final int MAX_KEPT_LINE_BYTES = 512;
+
     private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
     private static final Pattern LENGTH_PATTERN = Pattern.compile("[0-9]{1,18}");
     private static final Pattern CHUNK_SIZE_PATTERN = Pattern.compile("[0-9a-fA-F]{1,8}");
     private final MessageListener listener;
     private final boolean readsResponses;
     private final long maxBodyBytes;
-    private final StringBuilder lineBuffer = new StringBuilder();
+    /** The line being read, one byte per character. */
+    private StringBuilder lineBuffer = new StringBuilder();
+
     private State state = State.START_LINE;
     private boolean carriageReturnSeen;
     private int headBytes;
@@ -78,6 +83,11 @@
         return state == State.START_LINE && lineBuffer.length() == 0;
     }
 
+    /** Returns the heap that the buffer of the current line takes, in bytes. */
+    public long bufferedBytes() {
+        return ObjectSizes.byteArray(lineBuffer.capacity());
+    }
+
     /** Parses until one message has ended or the buffer is empty. */
     public void read(RingBuffer in) throws MessageRejectedException {
         messageEnded = false;
@@ -244,6 +254,9 @@
     private void endMessage() throws MessageRejectedException {
         state = State.START_LINE;
         headBytes = 0;
+        if (lineBuffer.capacity() > MAX_KEPT_LINE_BYTES) {
+            lineBuffer = new StringBuilder();
+        }
         messageEnded = true;
         listener.messageEnded();
     }
--- a/src/main/java/tinlink/net/JsonReader.java
+++ b/src/main/java/tinlink/net/JsonReader.java
@@ -21,6 +21,8 @@
             Pattern.compile("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?");
     private static final int MAX_DEPTH = 16;
     private static final Object NONE = new Object();
+    /** The initial capacity of the text buffer, which doubles when it is full. */
+    private static final int MIN_TEXT_BYTES = 32;
 
     private enum State {
         VALUE,
@@ -38,7 +40,11 @@
 
     private final ArrayDeque<Object> openContainers = new ArrayDeque<>();
     private final ArrayDeque<String> pendingNames = new ArrayDeque<>();
-    private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream text = new ByteArrayOutputStream(MIN_TEXT_BYTES);
+    private final HeapCharge heapCharge;
+    /** The part of the text buffer's capacity that is charged, in bytes. */
+    private int chargedTextBytes = MIN_TEXT_BYTES;
+
     private State state = State.VALUE;
     private boolean isReadingName;
     private int codeUnit;
@@ -46,6 +52,12 @@
     private int highSurrogate;
     private Object value = NONE;
 
+    /** @param heapCharge accounts for the parsed objects */
+    public JsonReader(HeapCharge heapCharge) {
+        this.heapCharge = heapCharge;
+    }
+
+    /** Returns whether nothing but white space has been read. */
     public boolean isEmpty() {
         return state == State.VALUE && openContainers.isEmpty() && value == NONE;
     }
@@ -71,7 +83,7 @@
                     endWord();
                     read(b);
                 } else {
-                    text.write(b);
+                    appendText(b);
                 }
             }
             default -> {
@@ -109,11 +121,10 @@
                 if (openContainers.size() == MAX_DEPTH) {
                     throw new MessageRejectedException("JSON: too deep");
                 }
-                openContainers.push(
-                        b == '{' ? new LinkedHashMap<String, Object>() : new ArrayList<Object>());
+                openContainer(b);
                 state = b == '{' ? State.NAME_OR_END : State.VALUE_OR_END;
             } else {
-                text.write(b);
+                appendText(b);
                 state = State.WORD;
             }
         } else {
@@ -122,6 +133,16 @@
         }
     }
 
+    private void openContainer(byte bracket) throws MessageRejectedException {
+        if (bracket == '{') {
+            heapCharge.add(ObjectSizes.EMPTY_MAP);
+            openContainers.push(new LinkedHashMap<String, Object>());
+        } else {
+            heapCharge.add(ObjectSizes.EMPTY_LIST);
+            openContainers.push(new ArrayList<Object>());
+        }
+    }
+
     private boolean isInside(Class<?> kind) {
         return kind.isInstance(openContainers.peek());
     }
@@ -131,7 +152,9 @@
             throw new MessageRejectedException("JSON: half a surrogate pair");
         }
         if (b == '"') {
+            int utf8Bytes = text.size();
             String s = takeText();
+            heapCharge.add(ObjectSizes.decodedString(s, utf8Bytes));
             if (!isReadingName) {
                 completeValue(s);
             } else if (((Map<?, ?>) openContainers.peek()).containsKey(s)) {
@@ -145,10 +168,18 @@
         } else if (b >= 0 && b < ' ') {
             throw new MessageRejectedException("JSON: a control character in a string");
         } else {
-            text.write(b);
+            appendText(b);
         }
     }
 
+    private void appendText(int b) throws MessageRejectedException {
+        if (text.size() == chargedTextBytes) {
+            heapCharge.add(chargedTextBytes);
+            chargedTextBytes *= 2;
+        }
+        text.write(b);
+    }
+
     private void readEscape(byte b) throws MessageRejectedException {
         int plain = "\"\\/bfnrt".indexOf(b);
         if (b == 'u') {
@@ -156,7 +187,7 @@
             hexDigitsLeft = 4;
             state = State.HEX;
         } else if (plain >= 0 && highSurrogate == 0) {
-            text.write("\"\\/\b\f\n\r\t".charAt(plain));
+            appendText("\"\\/\b\f\n\r\t".charAt(plain));
             state = State.STRING;
         } else {
             throw new MessageRejectedException("JSON: an escape that does not exist");
@@ -182,7 +213,9 @@
             String s = highSurrogate == 0
                     ? String.valueOf(c)
                     : new String(new char[] {(char) highSurrogate, c});
-            text.writeBytes(s.getBytes(StandardCharsets.UTF_8));
+            for (byte utf8Byte : s.getBytes(StandardCharsets.UTF_8)) {
+                appendText(utf8Byte);
+            }
             highSurrogate = 0;
         }
         state = State.STRING;
@@ -212,21 +245,26 @@
                 if (s.length() > 40 || !NUMBER.matcher(s).matches()) {
                     throw new MessageRejectedException("JSON: neither a number nor a word");
                 }
+                heapCharge.add(ObjectSizes.NUMBER);
                 completeValue(Double.valueOf(s));
             }
         }
     }
 
     @SuppressWarnings("unchecked")
-    private void completeValue(Object completed) {
+    private void completeValue(Object completed) throws MessageRejectedException {
         if (openContainers.isEmpty()) {
             value = completed;
             state = State.DONE;
         } else {
-            if (isInside(Map.class)) {
-                ((Map<String, Object>) openContainers.peek()).put(pendingNames.pop(), completed);
+            if (openContainers.peek() instanceof Map<?, ?> map) {
+                heapCharge.add(ObjectSizes.ENTRY + (map.isEmpty() ? ObjectSizes.FIRST_ENTRY : 0));
+                ((Map<String, Object>) map).put(pendingNames.pop(), completed);
             } else {
-                ((List<Object>) openContainers.peek()).add(completed);
+                List<Object> list = (List<Object>) openContainers.peek();
+                heapCharge.add(
+                        ObjectSizes.ELEMENT + (list.isEmpty() ? ObjectSizes.FIRST_ELEMENT : 0));
+                list.add(completed);
             }
             state = State.COMMA_OR_END;
         }
@@ -243,8 +281,9 @@
         return value;
     }
 
+    /** Parses a trusted text, such as that of a configuration file. */
     public static Object parse(String text) throws MessageRejectedException {
-        JsonReader reader = new JsonReader();
+        JsonReader reader = new JsonReader(HeapCharge.UNLIMITED);
         reader.read(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
         return reader.value();
     }
--- a/src/main/java/tinlink/net/RingBuffer.java
+++ b/src/main/java/tinlink/net/RingBuffer.java
@@ -23,6 +23,11 @@
         return size;
     }
 
+    /** Returns the size of the array, in bytes; 0 after the release. */
+    public int capacity() {
+        return bytes == null ? 0 : bytes.length;
+    }
+
     int freeBytes() {
         return bytes.length - size;
     }
--- a/src/main/java/tinlink/router/ClientAcceptor.java
+++ b/src/main/java/tinlink/router/ClientAcceptor.java
@@ -25,10 +25,10 @@
     /**
      * @param maxInFlight limit of lookups and parts in flight if no policy sets one
      * @param lingerUs time that the peer has to react to the end of the stream before a close
-     * @param maxBodyBytesInFlight limit of the total size of request bodies being read
+     * @param requestHeapBytes limit of the heap that the requests of all clients retain together
      * @param maxDeadlineUs longest time that a client waits for an answer
      */
-    record Limits(int maxInFlight, long lingerUs, long maxBodyBytesInFlight, long maxDeadlineUs) {}
+    record Limits(int maxInFlight, long lingerUs, long requestHeapBytes, long maxDeadlineUs) {}
 
     private final EventLoop loop;
     private final Network network;
@@ -40,8 +40,7 @@
     /** Fires when the oldest incomplete request may be closed; null if no descriptor is needed. */
     private EventLoop.Timer slowClientTimer;
 
-    /** Total size of the request bodies being read. */
-    private long bodyBytesInFlight;
+    private final RequestMemory requestMemory;
 
     private boolean draining;
     /** Lookups whose deadline is later than this are not admitted. */
@@ -64,6 +63,8 @@
         this.queryParser = queryParser;
         this.driver = driver;
         this.limits = limits;
+        requestMemory =
+                new RequestMemory(limits.requestHeapBytes(), limits.lingerUs(), loop::nowUs);
     }
 
     // ---- Accepting. ----
@@ -256,15 +257,9 @@
         return query;
     }
 
-    /**
-     * Accounts for body bytes, since bodies of the full size from many clients at once would fill the heap.
-     *
-     * @param bytes negative to release bytes
-     * @return whether the total is within the limit
-     */
-    boolean reserveBodyBytes(int bytes) {
-        bodyBytesInFlight += bytes;
-        return bodyBytesInFlight <= limits.maxBodyBytesInFlight();
+    /** Opens an account of the heap that the requests of one connection retain. */
+    RequestMemory.Account openMemoryAccount(RequestMemory.Owner owner) {
+        return requestMemory.open(owner);
     }
 
     /** Whether the limit of lookups and parts in flight and the time until the stop allow the query. */
--- a/src/main/java/tinlink/router/ClientConnection.java
+++ b/src/main/java/tinlink/router/ClientConnection.java
@@ -11,31 +11,28 @@
 import tinlink.net.RingBuffer;
 
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.logging.Level;
-import java.util.regex.Pattern;
 
 /**
  * A client's HTTP connection. It handles one request at a time; the next one is read after the response
  * to the current one.
  */
 final class ClientConnection
-        implements Connection.Listener, HttpReader.MessageListener, Query.ResponseListener {
+        implements Connection.Listener,
+                HttpReader.MessageListener,
+                Query.ResponseListener,
+                RequestMemory.Owner {
     private static final EventLog LOG = new EventLog("tinlink.clients");
-    private static final Pattern CLOSE_OPTION = Pattern.compile("(?i)(.*,)?\\s*close\\s*(,.*)?");
-    private static final Pattern SINGLE_VALUE_HEADERS =
-            Pattern.compile("x-.*|idempotency-key|content-length|host");
 
     private final ClientAcceptor acceptor;
+    /** The heap that this connection's request retains. */
+    private final RequestMemory.Account memory;
+
     private final HttpReader reader = HttpReader.forRequests(this);
-    private final Map<String, String> headers = new HashMap<>();
+    private final RequestHead head;
     private Connection connection;
-    private String method;
-    private String path;
     private boolean keepAlive;
     private JsonReader body;
-    private int bodyBytes;
     /** The query in flight; null if none. If the connection closes, its client has disconnected. */
     private Query query;
 
@@ -55,6 +52,8 @@
 
     ClientConnection(ClientAcceptor acceptor) {
         this.acceptor = acceptor;
+        memory = acceptor.openMemoryAccount(this);
+        head = new RequestHead(memory);
     }
 
     /**
@@ -110,6 +109,7 @@
             while (isAwaitingRequest() && in.size() > 0) {
                 reader.read(in);
             }
+            accountForBuffers(in);
         } catch (MessageRejectedException e) {
             LOG.log(Level.FINE, "request_rejected", "reason", e.getMessage());
             respondAndClose(ClientResponse.plainText(e.status, e.getMessage()));
@@ -132,11 +132,8 @@
             acceptor.clientGone(failed);
             respondAndClose(ClientResponse.plainText(400, "too much was sent before an answer"));
         }
-        while (closing && in.size() > 0 && discardedBytes < ProtocolLimits.MAX_BODY_BYTES) {
-            // Bytes after the last response are discarded, since a reset would cut off the
-            // response. The amount is bounded: a client that sends endlessly would take processing
-            // time from all others.
-            discardedBytes += in.takeContiguous(in.size()).remaining();
+        if (closing) {
+            discard(in);
         }
         if (isIdle()) {
             acceptor.markIdle(this);
@@ -149,6 +146,39 @@
         }
     }
 
+    /**
+     * Discards the bytes after the last response, since a reset would cut off the response. The amount is
+     * bounded: a client that sends endlessly would take processing time from all others.
+     */
+    private void discard(RingBuffer in) {
+        while (in.size() > 0) {
+            discardedBytes += in.takeContiguous(in.size()).remaining();
+        }
+        if (discardedBytes >= ProtocolLimits.MAX_BODY_BYTES) {
+            connection.stopReading();
+        }
+    }
+
+    /** Charges the buffers of the connection, which a peer can make grow without completing a request. */
+    private void accountForBuffers(RingBuffer in) throws MessageRejectedException {
+        long bytes = in.capacity() + reader.bufferedBytes();
+        if (isAwaitingRequest() && !reader.isAtBoundary()) {
+            memory.setReceiveBuffer(bytes);
+        } else {
+            memory.setInputBuffer(bytes);
+        }
+    }
+
+    @Override
+    public void giveWayForMemory() {
+        if (isAwaitingRequest() && !reader.isAtBoundary()) {
+            // No attempt was sent, so the client can safely retry after this rejection.
+            respondAndClose(ClientResponse.plainText(503, "too much is being read"));
+        } else {
+            connection.close(CloseReason.COMPLETED); // The client does not read its response.
+        }
+    }
+
     /**
      * Ends a connection that is silent or stopped in the middle of a request; it would otherwise be held
      * forever.
@@ -178,47 +208,29 @@
      * request could not be told from the next one.
      */
     private void respondAndClose(ClientResponse response) {
-        releaseBody();
+        releaseRequest(0);
         keepAlive = false;
         respond(response);
     }
 
     @Override
-    public void startLine(String requestMethod, String requestTarget, String version) {
-        method = requestMethod;
-        int queryStart = requestTarget.indexOf('?');
-        path = queryStart < 0 ? requestTarget : requestTarget.substring(0, queryStart);
-        keepAlive = version.equals("HTTP/1.1");
-        headers.clear();
+    public void startLine(String method, String target, String version)
+            throws MessageRejectedException {
+        head.startLine(method, target, version);
         body = null;
     }
 
     @Override
     public void header(String name, String value) throws MessageRejectedException {
-        // If such a header occurs twice, this router and a proxy in front of it could use different
-        // values.
-        if (headers.put(name, value) != null
-                && SINGLE_VALUE_HEADERS.matcher(name).matches()) {
-            throw new MessageRejectedException(400, name + ": twice");
-        }
+        head.add(name, value);
     }
 
     @Override
     public void headersEnded() throws MessageRejectedException {
-        String connectionHeader = headers.getOrDefault("connection", "");
-        keepAlive = keepAlive && !CLOSE_OPTION.matcher(connectionHeader).matches();
-        String expectedMethod =
-                switch (path) {
-                    case "/api" -> "POST";
-                    case "/-/ready" -> "GET";
-                    default -> throw new MessageRejectedException(404, "no such path");
-                };
-        if (!method.equals(expectedMethod)) {
-            throw new MessageRejectedException(405, "the method is " + expectedMethod);
-        }
-        if (expectedMethod.equals("POST")) {
-            body = new JsonReader();
-            if (headers.getOrDefault("expect", "").equalsIgnoreCase("100-continue")) {
+        keepAlive = head.isKeepAlive();
+        if (head.checkedKind() == RequestHead.Kind.LOOKUP) {
+            body = new JsonReader(memory);
+            if (head.expectsContinue()) {
                 connection.out().put("HTTP/1.1 100 Continue\r\n\r\n");
                 connection.scheduleWrite();
             }
@@ -228,34 +240,30 @@
     @Override
     public void body(ByteBuffer piece) throws MessageRejectedException {
         if (body != null) {
-            bodyBytes += piece.remaining();
-            if (!acceptor.reserveBodyBytes(piece.remaining())) {
-                // No attempt was sent, so the client can safely retry after this rejection.
-                throw new MessageRejectedException(503, "too much is being read");
-            }
             body.read(piece);
         }
     }
 
-    private void releaseBody() {
+    /** Frees what was parsed from the request; the text of its lookup, if any, stays in memory. */
+    private void releaseRequest(int lookupBytes) {
+        head.clear();
         body = null;
-        acceptor.reserveBodyBytes(-bodyBytes);
-        bodyBytes = 0;
+        memory.received(lookupBytes);
     }
 
     @Override
     public void messageEnded() throws MessageRejectedException {
         if (body == null) {
+            releaseRequest(0);
             respond(
                     acceptor.isReady()
                             ? ClientResponse.plainText(200, "ready")
                             : ClientResponse.plainText(503, "not ready"));
             return;
         }
-        Query parsed = acceptor.parse(headers, body, this, requestedAtUs);
+        Query parsed = acceptor.parse(head.fields(), body, this, requestedAtUs);
         requestedAtUs = Long.MAX_VALUE;
-        releaseBody();
-        headers.clear(); // Frees memory while the connection is idle.
+        releaseRequest(parsed.text.length);
         if (!acceptor.hasCapacity(parsed)) {
             // No attempt was sent, so the client can safely retry after this rejection.
             respond(ClientResponse.plainText(503, "no room for it now"));
@@ -302,6 +310,7 @@
         closing = !keepAlive || acceptor.closesAfterResponse();
         responded = true;
         response.write(connection.out(), closing);
+        memory.responseBuffered(connection.out().capacity());
         connection.scheduleWrite();
         if (closing) {
             cancelRequestTimer();
@@ -313,6 +322,7 @@
 
     @Override
     public void writesCompleted() {
+        memory.responseWritten();
         if (closing) {
             connection.halfClose();
         }
@@ -323,7 +333,7 @@
         LOG.log(Level.FINE, "client_connection_closed", "reason", closeReason);
         acceptor.clientClosed(this);
         acceptor.cancel(requestTimer);
-        releaseBody();
+        memory.release();
         if (query != null) {
             Query abandoned = query;
             query = null;
--- a/src/main/java/tinlink/router/DiscoveryConnection.java
+++ b/src/main/java/tinlink/router/DiscoveryConnection.java
@@ -4,6 +4,7 @@
 import tinlink.net.Connection;
 import tinlink.net.EventLog;
 import tinlink.net.EventLoop;
+import tinlink.net.HeapAllowance;
 import tinlink.net.HttpReader;
 import tinlink.net.JsonReader;
 import tinlink.net.MessageRejectedException;
@@ -48,6 +49,14 @@
         void watchClosed(DiscoveryConnection connection, CloseReason closeReason);
     }
 
+    /**
+     * The limits of one object, usually a list of data nodes.
+     *
+     * @param maxBytes its length in bytes
+     * @param maxHeapBytes the estimated heap of what is parsed from it, in bytes
+     */
+    record ObjectLimits(long maxBytes, long maxHeapBytes) {}
+
     private static final EventLog LOG = new EventLog("tinlink.discovery");
 
     /**
@@ -58,11 +67,13 @@
 
     private final EventLoop loop;
     private final Handler handler;
-    private final int maxObjectBytes;
+    private final ObjectLimits limits;
     private final HttpReader reader = HttpReader.forResponses(this);
 
     /** The object being read; it can span several lines, of which only the first begins with a brace. */
-    private JsonReader object = new JsonReader();
+    private JsonReader object;
+    /** The heap that the object being read may take. */
+    private HeapAllowance objectHeap;
 
     /** Whether the current line has any content. */
     private boolean lineBegun;
@@ -77,10 +88,11 @@
     /** Closes the connection when the watch stays silent; null before the first line. */
     private EventLoop.Timer silenceTimer;
 
-    DiscoveryConnection(EventLoop loop, Handler handler, int maxObjectBytes) {
+    DiscoveryConnection(EventLoop loop, Handler handler, ObjectLimits limits) {
         this.loop = loop;
         this.handler = handler;
-        this.maxObjectBytes = maxObjectBytes;
+        this.limits = limits;
+        resetObject();
     }
 
     void attach(Connection connection) {
@@ -142,9 +154,9 @@
     public void body(ByteBuffer piece) throws MessageRejectedException {
         while (piece.hasRemaining() && handler.isInUse(this)) {
             byte b = piece.get();
-            if (++objectBytes > maxObjectBytes) {
+            if (++objectBytes > limits.maxBytes()) {
                 throw new MessageRejectedException(
-                        502, "endpoint list exceeds " + maxObjectBytes + " bytes");
+                        502, "endpoint list exceeds " + limits.maxBytes() + " bytes");
             }
             if (b == '\n') {
                 lineEnded();
@@ -159,12 +171,16 @@
         }
     }
 
-    private void read(byte b) {
+    private void read(byte b) throws MessageRejectedException {
         try {
             if (!malformed) {
                 object.read(b);
             }
         } catch (MessageRejectedException e) {
+            if (objectHeap.isExceeded()) {
+                throw new MessageRejectedException(
+                        502, "endpoint list exceeds " + limits.maxHeapBytes() + " bytes of memory");
+            }
             discardObject(e.getMessage());
             malformed = true;
         }
@@ -176,13 +192,14 @@
     }
 
     private void resetObject() {
-        object = new JsonReader();
+        objectHeap = new HeapAllowance(limits.maxHeapBytes());
+        object = new JsonReader(objectHeap);
         objectBytes = 0;
         malformed = false;
     }
 
     /** Ends a line. An update must not be skipped, and a partial one must not be applied as whole. */
-    private void lineEnded() {
+    private void lineEnded() throws MessageRejectedException {
         boolean hadContent = lineBegun;
         lineBegun = false;
         read((byte) '\n');
--- a/src/main/java/tinlink/router/DiscoveryWatcher.java
+++ b/src/main/java/tinlink/router/DiscoveryWatcher.java
@@ -27,7 +27,7 @@
     private final EndpointList endpointList;
     private final SplittableRandom random;
     private final long openIntervalUs;
-    private final int maxObjectBytes;
+    private final DiscoveryConnection.ObjectLimits objectLimits;
     private InetSocketAddress discoveryAddress;
 
     /** Whether the held revision was numbered by the current discovery address. */
@@ -55,7 +55,7 @@
             InetSocketAddress discoveryAddress,
             boolean pushed,
             long seed,
-            int maxObjectBytes) {
+            DiscoveryConnection.ObjectLimits objectLimits) {
         this.loop = loop;
         this.network = network;
         this.driver = driver;
@@ -63,7 +63,7 @@
         this.discoveryAddress = discoveryAddress;
         // If lists are pushed, a local agent serves them, so that frequent connections cost little.
         openIntervalUs = ProtocolLimits.WATCH_KEEPALIVE_US / (pushed ? 8 : 2);
-        this.maxObjectBytes = maxObjectBytes;
+        this.objectLimits = objectLimits;
         random = new SplittableRandom(seed);
     }
 
@@ -91,7 +91,7 @@
         if (pendingWatches.size() == MAX_PENDING) {
             pendingWatches.get(0).close(CloseReason.UNRESPONSIVE);
         }
-        DiscoveryConnection connection = new DiscoveryConnection(loop, this, maxObjectBytes);
+        DiscoveryConnection connection = new DiscoveryConnection(loop, this, objectLimits);
         try {
             connection.attach(network.connect(discoveryAddress, connection));
             pendingWatches.add(connection);
--- a/src/main/java/tinlink/router/RequestPipeline.java
+++ b/src/main/java/tinlink/router/RequestPipeline.java
@@ -32,7 +32,7 @@
                 new ClientAcceptor.Limits(
                         config.lookups.maxInFlight(),
                         config.nodeConnections.connectTimeoutUs(),
-                        config.maxBodyBytesInFlight,
+                        config.maxRequestHeapBytes,
                         config.maxDeadlineUs));
         endpointList = new EndpointList(driver, dispatcher, config.endpointNames);
         discoveryWatcher = new DiscoveryWatcher(
@@ -43,7 +43,8 @@
                 config.discovery,
                 config.isDiscoveryPushed,
                 config.seed,
-                (int) Math.min(Integer.MAX_VALUE, config.maxBodyBytesInFlight));
+                new DiscoveryConnection.ObjectLimits(
+                        config.maxEndpointListBytes, config.maxEndpointListHeapBytes));
         dispatcher.connections().setAcceptor(acceptor);
     }
 }
--- a/src/main/java/tinlink/router/Warmup.java
+++ b/src/main/java/tinlink/router/Warmup.java
@@ -5,6 +5,7 @@
 import tinlink.net.Connection;
 import tinlink.net.EventLoop;
 import tinlink.net.EventLoopParticipant;
+import tinlink.net.MessageRejectedException;
 import tinlink.net.Network;
 import tinlink.net.RingBuffer;
 
@@ -111,6 +112,7 @@
         waitingConnections.clear();
         for (WaitingConnection waiting : handedOver) {
             servingPipeline.descriptors.clientClosed();
+            waiting.memory.release();
             waiting.delegate = servingPipeline.acceptor.newListener();
             // The client's deadline runs while the connection waits here. A deadline that counted
             // from the handover would let the answer come too late.
@@ -182,7 +184,9 @@
      * An accepted connection of unknown origin. A connection to a simulated data node begins with the zero
      * byte of a frame length, and a warm-up client begins with the token.
      */
-    private final class WaitingConnection implements Connection.Listener {
+    private final class WaitingConnection implements Connection.Listener, RequestMemory.Owner {
+        private final RequestMemory.Account memory =
+                servingPipeline.acceptor.openMemoryAccount(this);
         private final StringBuilder received = new StringBuilder();
         private Connection connection;
         private Connection.Listener delegate;
@@ -201,9 +205,25 @@
             }
             if (delegate != null) {
                 delegate.bytesReceived(in);
+            } else if (!connection.isClosed()) {
+                accountForBuffer(in);
             }
         }
 
+        private void accountForBuffer(RingBuffer in) {
+            try {
+                memory.setReceiveBuffer(in.capacity());
+            } catch (MessageRejectedException e) {
+                giveWayForMemory();
+            }
+        }
+
+        /** Closes the connection; its client retries the unread request at another router. */
+        @Override
+        public void giveWayForMemory() {
+            connection.close(CloseReason.IDLE_TIMEOUT);
+        }
+
         private void readToken(RingBuffer in) {
             while (in.size() > 0 && received.length() < clientToken.length()) {
                 received.append((char) in.take());
@@ -223,6 +243,7 @@
         /** Assigns a listener and removes the connection from those that wait for the serving router. */
         private void delegateTo(Connection.Listener listener) {
             delegate = listener;
+            memory.release();
             if (waitingConnections.remove(this)) {
                 servingPipeline.descriptors.clientClosed();
             }
--- a/src/test/java/tinlink/net/ParserPlayer.java
+++ b/src/test/java/tinlink/net/ParserPlayer.java
@@ -93,7 +93,7 @@
                 ? HttpReader.forResponses(player)
                 : HttpReader.forRequests(player);
         FrameReader frames = new FrameReader(player);
-        JsonReader json = new JsonReader();
+        JsonReader json = new JsonReader(HeapCharge.UNLIMITED);
         try {
             for (int at = 0; at < input.length; ) {
                 int count = Math.min(step, (at < cut ? cut : input.length) - at);
