--- a/src/main/java/tinlink/Main.java
+++ b/src/main/java/tinlink/Main.java
@@ -6,6 +6,7 @@
 import tinlink.config.PlainLogFormatter;
 import tinlink.config.RouterConfig;
 import tinlink.config.ShutdownSafeLogManager;
+import tinlink.net.FatalErrorHandler;
 import tinlink.router.Router;
 import tinlink.simadapter.SimulatorAdapter;
 
@@ -96,6 +97,8 @@
     /** @return the exit status, or SERVED after an orderly stop, which ends the process itself */
     private static int serve(Map<String, String> environment, boolean servesClients) {
         System.setProperty("java.util.logging.manager", ShutdownSafeLogManager.class.getName());
+        FatalErrorHandler fatalErrorHandler = new FatalErrorHandler();
+        Thread.setDefaultUncaughtExceptionHandler(fatalErrorHandler);
         try {
             RouterConfig config = new RouterConfig(environment);
             Logger log = Logger.getLogger("tinlink");
@@ -119,8 +122,7 @@
                 }
             }));
             router.warmUp();
-            router.run();
-            return SERVED;
+            return run(router, fatalErrorHandler);
         } catch (InvalidInputException e) {
             System.err.println(e.getMessage());
             return 1;
@@ -129,4 +131,16 @@
             return 1;
         }
     }
+
+    private static int run(Router router, FatalErrorHandler fatalErrorHandler) throws IOException {
+        try {
+            router.run();
+            return SERVED;
+        } catch (Error e) {
+            // The event loop has ended. Reflection between here and the thread would hide the
+            // error.
+            fatalErrorHandler.uncaughtException(Thread.currentThread(), e);
+            throw e;
+        }
+    }
 }
