Event loop: a turn no longer counts as late because nothing came for 0.25 s

Cause: a wake-up after 0.25 s of rest made the loop pause the I/O thread twice, over a loopback connection, since such a rest could hide a stall of the whole process for up to half a second.

--- a/src/main/java/tinlink/net/EventLoop.java
+++ b/src/main/java/tinlink/net/EventLoop.java
@@ -36,11 +36,6 @@
     /** A timer delay or a turn duration above this shows that the process was stalled. */
     private static final long STALL_US = 10_000;
 
-    /**
-     * After a longer wait the loop can't tell whether no event arrived or the process was stalled.
-     */
-    private static final long LONG_WAIT_US = 250_000;
-
     /**
      * For this long after a catch-up the loop assumes that the I/O thread has handled all events,
      * and doesn't wait for it again.
@@ -146,15 +141,14 @@
     public void run(EventLoopParticipant participant) {
         List<Runnable> batch = new ArrayList<>();
         while (!stopped) {
-            long waitingSinceUs = clock.nowUs();
             Runnable first = awaitTask();
             if (first != null) {
                 batch.add(first);
             }
             nowUs = clock.nowUs();
             runGuarded(() -> participant.turnStarted(nowUs));
-            boolean woken = runReadyTasks(batch);
-            if (mayBeLate(woken ? nowUs - waitingSinceUs : 0)) {
+            runReadyTasks(batch);
+            if (isLate()) {
                 catchUp(batch);
             }
             while (!timers.isEmpty() && timers.first().dueUs <= nowUs) {
@@ -175,12 +169,12 @@
         }
     }
 
-    private boolean mayBeLate(long waitedUs) {
+    private boolean isLate() {
         long lateUs = timers.isEmpty() ? 0 : nowUs - timers.first().dueUs;
         if (lateUs > LATE_US) {
             LOG.log(Level.WARNING, "event_loop_late", "late_ms", lateUs / 1000);
         }
-        return lateUs > STALL_US || waitedUs > LONG_WAIT_US;
+        return lateUs > STALL_US;
     }
 
     /**
@@ -189,12 +183,9 @@
      * <p>A request and the close after it are two reads, and the second becomes ready only once the
      * first has been taken. The queue is therefore drained several times: a decision between the
      * two reads would send parts for a client that has disconnected.
-     *
-     * @return whether any task was queued
      */
-    private boolean runReadyTasks(List<Runnable> batch) {
+    private void runReadyTasks(List<Runnable> batch) {
         readyTasks.drainTo(batch);
-        boolean any = !batch.isEmpty();
         for (int drains = 1; !batch.isEmpty(); drains++) {
             batch.forEach(EventLoop::runGuarded);
             batch.clear();
@@ -202,7 +193,6 @@
                 readyTasks.drainTo(batch);
             }
         }
-        return any;
     }
 
     /**
