I/O thread: a pause is awaited for 0.2 s, no longer 2 s

Cause: the loop waited for up to 40 times 50 ms until the I/O thread stood still, which allowed for several stalls of half a second that the users' bench caused. All lookups wait meanwhile.

Change: four waits of 50 ms. They stay split, since a single wait would be over after a suspension of the whole process.

--- a/src/main/java/tinlink/net/IoThread.java
+++ b/src/main/java/tinlink/net/IoThread.java
@@ -26,10 +26,10 @@
     private static final EventLog LOG = new EventLog("tinlink.net");
 
     /**
-     * Bounds the wait for a pause: an I/O thread that gets no processor time must not block the
-     * loop indefinitely.
+     * Bounds the wait for a pause, to 0.2 s of waits that were not interrupted: an I/O thread that
+     * gets no processor time must not hold up the lookups of the loop for long.
      */
-    private static final int MAX_WAITS = 40;
+    private static final int MAX_WAITS = 4;
 
     /**
      * The length of one wait for a pause. After the whole process was suspended, a single long wait
