Data nodes: each request frame is a write of its own

Change: a frame enters the buffer only when the buffer is empty. The parts of one turn that may travel together still share a frame.

Router scenarios 93 of 93, among them the one of frames behind one that is stuck. No test forces short frames behind a stuck one: on loopback the kernel takes megabytes.

--- a/src/main/java/tinlink/router/NodeConnection.java
+++ b/src/main/java/tinlink/router/NodeConnection.java
@@ -18,12 +18,6 @@
 final class NodeConnection implements Connection.Listener, FrameReader.FrameListener {
     private static final EventLog LOG = new EventLog("tinlink.nodes");
 
-    /**
-     * A frame is appended to the write buffer only while the buffer holds fewer bytes than this. Once a write
-     * stalls, no frame in the buffer can be withdrawn any more.
-     */
-    private static final int MAX_BUFFERED_BYTES = 4096;
-
     private final NodeConnections connections;
     private final AttemptDispatcher dispatcher;
     private final NodeEndpoint endpoint;
@@ -181,7 +175,10 @@
         flush();
     }
 
-    /** Moves queued cancel and request frames into the buffer if it can be written at once. */
+    /**
+     * Moves the queued cancel frames, or else one request frame, into the buffer if it can be written at once.
+     * Request frames are written one by one: if a write stalls, none behind the first can be withdrawn.
+     */
     private void flush() {
         if (connection == null || !connection.canWriteNow()) {
             return;
@@ -191,7 +188,7 @@
             NodeFrames.writeCancel(out, idsToCancel.poll());
             connection.scheduleWrite();
         }
-        while (!queuedBatches.isEmpty() && out.size() < MAX_BUFFERED_BYTES) {
+        while (!queuedBatches.isEmpty() && out.size() == 0) {
             AttemptBatch batch = queuedBatches.poll();
             dropStale(batch);
             if (batch.attemptsInFlight > 0) {
