--- a/src/main/java/tinlink/router/NodeConnection.java
+++ b/src/main/java/tinlink/router/NodeConnection.java
@@ -176,8 +176,8 @@
     }
 
     /**
-     * Moves the queued cancel frames, or else one request frame, into the buffer if it can be written at once.
-     * Request frames are written one by one: if a write stalls, none behind the first can be withdrawn.
+     * Moves the queued cancel frames, or else one request frame, into the buffer if it can be written at
+     * once. Request frames are written one by one: if a write stalls, no frame in it can be withdrawn.
      */
     private void flush() {
         if (connection == null || !connection.canWriteNow()) {
