HTTP/2: a request that has not left whole never leaves after its lookup or its key's window

Cause: a request that waits for the node's flow-control window has a stream, and nothing bounded that wait. Where settings forbid to cancel, Http2NodeConnection.cancel only marked the stream, and SendWindow sent the rest whenever the node gave window back.

Change: SendWindow asks whether the rest of a request may still be sent; a stream whose attempt has ended with its request incomplete is withdrawn without a reset. Its connection takes nothing new and is closed once its other streams have ended, as the node may keep such a stream forever. A request that goes out of date while its lookup is open ends as cancelled (may have run).

--- a/src/main/java/tinlink/http2/Http2Connection.java
+++ b/src/main/java/tinlink/http2/Http2Connection.java
@@ -42,7 +42,7 @@
         this.listener = listener;
         writer = new FrameWriter(out);
         streamTable = new StreamTable(maxResetIds);
-        sendWindow = new SendWindow(writer);
+        sendWindow = new SendWindow(writer, listener::maySend);
         receiveWindow = new ReceiveWindow(writer);
         peerSettings = new PeerSettings(writer, headerCodec, sendWindow, uselessFrameBudget);
     }
@@ -82,6 +82,14 @@
         }
     }
 
+    /**
+     * Sends no more of a request that is not complete, without a reset. The stream stays open until the
+     * server ends it; the listener is still notified of that.
+     */
+    void withdraw(Http2Stream stream) {
+        stream.withdraw();
+    }
+
     private void resetStream(int streamId, Http2Constants.ErrorCode code) {
         writer.resetStream(streamId, code);
         streamTable.rememberReset(streamId);
--- a/src/main/java/tinlink/http2/Http2NodeClient.java
+++ b/src/main/java/tinlink/http2/Http2NodeClient.java
@@ -237,6 +237,15 @@
         return loop.schedule(loop.nowUs() + settings.connectTimeoutUs(), task);
     }
 
+    /** Schedules the task for the time from which the rest of the request may not be sent. */
+    void startSendTimer(PartRequest request, Runnable task) {
+        loop.schedule(request.sendDeadline, task);
+    }
+
+    long nowUs() {
+        return loop.nowUs();
+    }
+
     void onConnected(Http2NodeConnection nodeConnection) {
         touch();
         pool.onConnected(nodeConnection.pooled);
--- a/src/main/java/tinlink/http2/Http2NodeConnection.java
+++ b/src/main/java/tinlink/http2/Http2NodeConnection.java
@@ -61,22 +61,54 @@
         request.stream = http2.sendRequest(
                 request, request.headerFields(nodeClient.authority(), now), request.body());
         connection.scheduleWrite();
+        if (!request.stream.isRequestSent()) {
+            nodeClient.startSendTimer(request, () -> sendDeadlinePassed(request));
+        }
         if (http2.isExhausted()) {
             nodeClient.retire(this);
         }
     }
 
+    /** A node that gives back its window late must not get the rest of a request that is out of date. */
+    @Override
+    public boolean maySend(Http2Stream stream) {
+        return nodeClient.nowUs() < ((PartRequest) stream.call).sendDeadline;
+    }
+
+    private void sendDeadlinePassed(PartRequest request) {
+        if (!request.ended && !connection.isClosed() && !request.stream.isRequestSent()) {
+            withdraw(request.stream);
+            nodeClient.finish(request, CallResult.WITHDRAWN, null);
+        }
+    }
+
+    /**
+     * Ends a request that was not sent completely. The node may keep its stream open forever, so the
+     * connection takes no new attempts and is closed once its other streams have ended.
+     */
+    private void withdraw(Http2Stream stream) {
+        stream.abandoned = true;
+        http2.withdraw(stream);
+        nodeClient.retire(this);
+        nodeClient.onStreamClosed(this);
+    }
+
     /**
      * Ends an attempt whose outcome is known otherwise.
      *
-     * @param notifyNode whether to reset the stream; otherwise the stream stays open until the node ends it
+     * @param notifyNode whether to reset the stream; otherwise the stream stays open until the node ends it,
+     *     and no more of the request is sent
      */
     void cancel(PartRequest request, boolean notifyNode) {
-        if (!notifyNode) {
+        if (!notifyNode && request.stream.isRequestSent()) {
             // The attempt continues at the node and counts against the node's stream limit.
             request.stream.abandoned = true;
             return;
         }
+        if (!notifyNode) {
+            withdraw(request.stream);
+            return;
+        }
         http2.cancel(request.stream);
         connection.scheduleWrite();
         nodeClient.onStreamClosed(this);
@@ -160,6 +192,9 @@
     }
 
     private void finish(Http2Stream stream, CallResult result) {
+        if (stream.isWithdrawn()) {
+            return; // It counts as closed since it was withdrawn.
+        }
         PartRequest request = (PartRequest) stream.call;
         nodeClient.onStreamClosed(this);
         if (stream.abandoned) {
--- a/src/main/java/tinlink/http2/Http2Stream.java
+++ b/src/main/java/tinlink/http2/Http2Stream.java
@@ -6,6 +6,8 @@
 
 /** One request and its response. Holds state only, which {@link Http2Connection} updates. */
 final class Http2Stream {
+    private static final byte[] NO_BODY = {};
+
     /** The caller's object for the request; opaque to the connection. */
     final Object call;
 
@@ -23,6 +25,8 @@
      * the node's limit until the node ends it.
      */
     boolean abandoned;
+    /** Whether the rest of the request is never sent, so that the node never gets it whole. */
+    private boolean withdrawn;
 
     /** The status code of the final response; 0 until its header fields have arrived. */
     int status;
@@ -41,6 +45,16 @@
 
     /** Whether the whole request has been written to frames. */
     boolean isRequestSent() {
-        return bodySent == body.length;
+        return !withdrawn && bodySent == body.length;
+    }
+
+    boolean isWithdrawn() {
+        return withdrawn;
+    }
+
+    /** Drops the rest of the request. */
+    void withdraw() {
+        withdrawn = true;
+        body = NO_BODY;
     }
 }
--- a/src/main/java/tinlink/http2/PartRequest.java
+++ b/src/main/java/tinlink/http2/PartRequest.java
@@ -26,6 +26,8 @@
     private final byte[] text;
     /** The time until which an answer is accepted, microseconds. */
     private final long answerDeadline;
+    /** The time from which no byte of the request may be sent, microseconds. */
+    final long sendDeadline;
 
     boolean ended;
     Http2NodeConnection nodeConnection;
@@ -42,7 +44,8 @@
      * @param idempotencyKey null if the class of the lookup needs none
      * @param text the text of the query; not copied, so it must not be changed
      * @param deadline the time until which an answer is accepted, microseconds
-     * @param sendDeadline the time until which the attempt may wait for a stream, microseconds
+     * @param sendDeadline the time until which the attempt may wait for a stream and for the node's window,
+     *     microseconds
      */
     public PartRequest(
             Object attachment,
@@ -59,6 +62,7 @@
         this.idempotencyKey = idempotencyKey;
         this.text = text;
         answerDeadline = deadline;
+        this.sendDeadline = Math.min(deadline, sendDeadline);
     }
 
     /** Whether the outcome is known, or the attempt was cancelled or passed to the frame protocol. */
--- a/src/main/java/tinlink/http2/SendWindow.java
+++ b/src/main/java/tinlink/http2/SendWindow.java
@@ -1,6 +1,7 @@
 package tinlink.http2;
 
 import java.util.Collection;
+import java.util.function.Predicate;
 
 /**
  * Flow control of the data that the client sends (RFC 9113, section 5.2). Writes request bodies as far as the
@@ -8,13 +9,18 @@
  */
 final class SendWindow {
     private final FrameWriter writer;
+    /** Whether the rest of a request may still be sent. */
+    private final Predicate<Http2Stream> maySend;
+
     /** The bytes that the server still accepts on the connection. */
     private long connectionWindow = Http2Constants.DEFAULT_WINDOW;
     /** The initial window of a new stream, in bytes. */
     private long initialStreamWindow = Http2Constants.DEFAULT_WINDOW;
 
-    SendWindow(FrameWriter writer) {
+    /** @param maySend whether the rest of a stream's request may still be sent */
+    SendWindow(FrameWriter writer, Predicate<Http2Stream> maySend) {
         this.writer = writer;
+        this.maySend = maySend;
     }
 
     /** Sets the initial window of a new stream. */
@@ -25,6 +31,9 @@
     /** Sends as much of a body as the windows allow. @return whether any byte was sent */
     boolean flush(Http2Stream stream) {
         boolean sent = false;
+        if (stream.isWithdrawn() || !maySend.test(stream)) {
+            return false;
+        }
         while (!stream.isRequestSent()) {
             int length = sendableBytes(stream);
             if (length <= 0) {
--- a/src/main/java/tinlink/http2/StreamListener.java
+++ b/src/main/java/tinlink/http2/StreamListener.java
@@ -7,6 +7,9 @@
     /** The stream limit is known: after the server's first settings and after later ones that contain it. */
     void onMaxStreams(long maxStreams);
 
+    /** Whether the rest of a request that waits for the server's window may still be sent. */
+    boolean maySend(Http2Stream stream);
+
     /** A well-formed response is complete; the stream holds its status, fields, body and trailers. */
     void onResponse(Http2Stream stream);
 
--- a/src/main/java/tinlink/http2/pool/CallResult.java
+++ b/src/main/java/tinlink/http2/pool/CallResult.java
@@ -24,6 +24,11 @@
      * use, the node allows none, or no connection became ready. Also if too many attempts wait already.
      */
     NO_CAPACITY(Outcome.REJECTED),
+    /**
+     * The rest of the request was not sent in time, since the node's window was closed; the node may have
+     * acted on what it received.
+     */
+    WITHDRAWN(Outcome.CANCELLED),
     /** No connection could be established. */
     NO_CONNECTION(Outcome.NO_CONNECTION),
     /** The node sent a valid response with a value. */
--- a/src/test/java/tinlink/http2/Http2ConnectionPlayer.java
+++ b/src/test/java/tinlink/http2/Http2ConnectionPlayer.java
@@ -16,10 +16,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Plays the frames of a scripted server against {@link Http2Connection}. The notation is described in
@@ -35,6 +37,9 @@
     /** The streams by the id of their request in the script. */
     private final Map<String, Http2Stream> calls = new HashMap<>();
 
+    /** The requests of which no more may be sent. */
+    private final Set<Object> overdue = new HashSet<>();
+
     private final Encoder encoder = new Encoder(4096);
     private final Decoder decoder = new Decoder(1 << 16, 4096);
     private final Http2Connection connection = new Http2Connection(this::recordFrame, this, 4);
@@ -62,6 +67,8 @@
                                 words[1], fields, new byte[Integer.parseInt(words[2])]));
             }
             case "cancel" -> connection.cancel(calls.get(words[1]));
+            case "withdraw" -> connection.withdraw(calls.get(words[1]));
+            case "overdue" -> overdue.add(words[1]);
             case "ping" -> connection.sendPing(Long.parseLong(words[1]));
             case ">" -> {
                 int times =
@@ -269,6 +276,11 @@
         events.add("streams " + maxStreams);
     }
 
+    @Override
+    public boolean maySend(Http2Stream stream) {
+        return !overdue.contains(stream.call);
+    }
+
     @Override
     public void onResponse(Http2Stream stream) {
         events.add(
