HTTP/2: one deadline for a request's wait, one branch for each way to cancel

Cause: read again, PartRequest held the deadline that PendingCall has already, Http2Connection.withdraw only passed its call on, and cancel asked twice whether the node may be notified. Behaviour stays.

--- a/src/main/java/tinlink/http2/Http2Connection.java
+++ b/src/main/java/tinlink/http2/Http2Connection.java
@@ -82,14 +82,6 @@
         }
     }
 
-    /**
-     * Sends no more of a request that is not complete, without a reset. The stream stays open until the
-     * server ends it; the listener is still notified of that.
-     */
-    void withdraw(Http2Stream stream) {
-        stream.withdraw();
-    }
-
     private void resetStream(int streamId, Http2Constants.ErrorCode code) {
         writer.resetStream(streamId, code);
         streamTable.rememberReset(streamId);
--- a/src/main/java/tinlink/http2/Http2NodeClient.java
+++ b/src/main/java/tinlink/http2/Http2NodeClient.java
@@ -239,7 +239,7 @@
 
     /** Schedules the task for the time from which the rest of the request may not be sent. */
     void startSendTimer(PartRequest request, Runnable task) {
-        loop.schedule(request.sendDeadline, task);
+        loop.schedule(request.deadline, task);
     }
 
     long nowUs() {
--- a/src/main/java/tinlink/http2/Http2NodeConnection.java
+++ b/src/main/java/tinlink/http2/Http2NodeConnection.java
@@ -72,7 +72,7 @@
     /** A node that gives back its window late must not get the rest of a request that is out of date. */
     @Override
     public boolean maySend(Http2Stream stream) {
-        return nodeClient.nowUs() < ((PartRequest) stream.call).sendDeadline;
+        return nodeClient.nowUs() < ((PartRequest) stream.call).deadline;
     }
 
     private void sendDeadlinePassed(PartRequest request) {
@@ -88,7 +88,7 @@
      */
     private void withdraw(Http2Stream stream) {
         stream.abandoned = true;
-        http2.withdraw(stream);
+        stream.withdraw();
         nodeClient.retire(this);
         nodeClient.onStreamClosed(this);
     }
@@ -100,18 +100,16 @@
      *     and no more of the request is sent
      */
     void cancel(PartRequest request, boolean notifyNode) {
-        if (!notifyNode && request.stream.isRequestSent()) {
+        if (notifyNode) {
+            http2.cancel(request.stream);
+            connection.scheduleWrite();
+            nodeClient.onStreamClosed(this);
+        } else if (request.stream.isRequestSent()) {
             // The attempt continues at the node and counts against the node's stream limit.
             request.stream.abandoned = true;
-            return;
-        }
-        if (!notifyNode) {
+        } else {
             withdraw(request.stream);
-            return;
         }
-        http2.cancel(request.stream);
-        connection.scheduleWrite();
-        nodeClient.onStreamClosed(this);
     }
 
     /** Whether a byte of the attempt's header block may have been handed to the kernel. */
--- a/src/main/java/tinlink/http2/Http2Stream.java
+++ b/src/main/java/tinlink/http2/Http2Stream.java
@@ -52,7 +52,7 @@
         return withdrawn;
     }
 
-    /** Drops the rest of the request. */
+    /** Sends no more of the request, without a reset; the stream stays open until the server ends it. */
     void withdraw() {
         withdrawn = true;
         body = NO_BODY;
--- a/src/main/java/tinlink/http2/PartRequest.java
+++ b/src/main/java/tinlink/http2/PartRequest.java
@@ -26,8 +26,6 @@
     private final byte[] text;
     /** The time until which an answer is accepted, microseconds. */
     private final long answerDeadline;
-    /** The time from which no byte of the request may be sent, microseconds. */
-    final long sendDeadline;
 
     boolean ended;
     Http2NodeConnection nodeConnection;
@@ -62,7 +60,6 @@
         this.idempotencyKey = idempotencyKey;
         this.text = text;
         answerDeadline = deadline;
-        this.sendDeadline = Math.min(deadline, sendDeadline);
     }
 
     /** Whether the outcome is known, or the attempt was cancelled or passed to the frame protocol. */
--- a/src/main/java/tinlink/http2/pool/PendingCall.java
+++ b/src/main/java/tinlink/http2/pool/PendingCall.java
@@ -2,8 +2,11 @@
 
 /** An attempt that waits for a stream. Holds state only; {@link ConnectionPool} decides. */
 public class PendingCall {
-    /** The time until which the attempt may wait, whether or not a connection is ready, microseconds. */
-    final long deadline;
+    /**
+     * The time until which the attempt may wait for a connection, a stream or the node's window,
+     * microseconds.
+     */
+    public final long deadline;
 
     /** The time until which the attempt waits for a stream if a connection is ready, microseconds. */
     long streamDeadline;
--- a/src/test/java/tinlink/http2/Http2ConnectionPlayer.java
+++ b/src/test/java/tinlink/http2/Http2ConnectionPlayer.java
@@ -67,7 +67,7 @@
                                 words[1], fields, new byte[Integer.parseInt(words[2])]));
             }
             case "cancel" -> connection.cancel(calls.get(words[1]));
-            case "withdraw" -> connection.withdraw(calls.get(words[1]));
+            case "withdraw" -> calls.get(words[1]).withdraw();
             case "overdue" -> overdue.add(words[1]);
             case "ping" -> connection.sendPing(Long.parseLong(words[1]));
             case ">" -> {
