Router: the drain for maintenance in a class of its own

MaintenanceIntegration held the state of the drain beside its wiring of the cluster. MaintenanceDrain has it now, Router.setDraining starts it without a cluster, and the two players have verbs for it. No behaviour changes but one interval: a listener that can't be opened again is tried again after half a second, in place of the report interval (half a second by the deploy file).

--- a/src/main/java/tinlink/experiment/TwoSites.java
+++ b/src/main/java/tinlink/experiment/TwoSites.java
@@ -142,6 +142,16 @@
             router.reload();
         }
 
+        /** Drains it for maintenance, or ends the drain. */
+        public void drain(boolean on) {
+            router.setDraining(on);
+        }
+
+        /** Whether a drain for maintenance waits for nothing any more. */
+        public boolean drained() {
+            return router.workInFlight() == 0;
+        }
+
         /** Whether it reaches cells of another site. */
         public boolean joined() {
             return router.remoteCells() > 0;
--- a/src/main/java/tinlink/router/MaintenanceIntegration.java
+++ b/src/main/java/tinlink/router/MaintenanceIntegration.java
@@ -21,7 +21,6 @@
 import tinlink.policy.PolicyStateMachine;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.Map;
 import java.util.logging.Level;
@@ -40,8 +39,7 @@
     private final Network network;
     private final RequestPipeline pipeline;
     private final MaintenanceConfig config;
-    /** The address for clients in the configuration, used while no serving address is known. */
-    private final InetSocketAddress configuredAddress;
+    private final MaintenanceDrain drain;
 
     private final MaintenanceService maintenance;
     /** Null if policy changes are disabled. */
@@ -49,25 +47,21 @@
 
     /** The server for control commands; null if no address is configured. */
     private ControlServer control;
-    /** Whether the maintenance service wants this router drained. */
-    private boolean drainRequested;
-    /** Whether the router is shutting down. */
-    private boolean stopping;
-    /** Whether a drain has stopped the accepting of clients. */
-    private boolean acceptingStopped;
-    /** The address that clients are served at, which a resumed listener uses again; null before that. */
-    private InetSocketAddress servingAddress;
 
     /** @throws IOException if the data directory or the cluster address can't be used */
     MaintenanceIntegration(
-            EventLoop loop, Network network, RouterConfig routerConfig, RequestPipeline pipeline)
+            EventLoop loop,
+            Network network,
+            RouterConfig routerConfig,
+            RequestPipeline pipeline,
+            MaintenanceDrain drain)
             throws IOException {
         RAFT_LIBRARY_LOGGER.setLevel(Level.SEVERE); // It logs each message that could not be sent.
         this.loop = loop;
         this.network = network;
         this.pipeline = pipeline;
         config = routerConfig.maintenance;
-        configuredAddress = routerConfig.listen;
+        this.drain = drain;
         ClusterConfig clusterConfig = routerConfig.cluster;
         DisruptionLimits limits = new DisruptionLimits(
                 config.minServingPerCell,
@@ -173,14 +167,6 @@
                 control == null ? "-" : control.address());
     }
 
-    /**
-     * Called when the router shuts down. The shutdown drains the clients itself, so drain requests
-     * have no effect from then on.
-     */
-    void stopping() {
-        stopping = true;
-    }
-
     /** Leaves the cluster; called when nothing is in flight any more. */
     void leave() {
         if (policy != null) {
@@ -219,9 +205,7 @@
 
     @Override
     public int clientsInFlight() {
-        return (acceptingStopped ? 0 : 1)
-                + pipeline.acceptor.clients()
-                + pipeline.driver.inFlight();
+        return drain.workInFlight();
     }
 
     @Override
@@ -230,54 +214,9 @@
         loop.execute(() -> {}); // Wakes the loop, so that the decision module sees the new input.
     }
 
-    /**
-     * Drains the clients as at SIGTERM, but without a shutdown. The router reports "not ready" and
-     * still accepts clients for the drain notice, until others have noticed; then it stops.
-     */
     @Override
     public void setDraining(boolean draining) {
-        drainRequested = draining;
-        if (stopping) {
-            return;
-        }
-        if (draining) {
-            pipeline.acceptor.markNotReady();
-            loop.schedule(loop.nowUs() + Router.DRAIN_NOTICE_US, this::stopAccepting);
-        } else {
-            resumeAccepting();
-        }
-    }
-
-    private void stopAccepting() {
-        if (drainRequested && !acceptingStopped && !stopping) {
-            acceptingStopped = true;
-            pipeline.acceptor.stopAccepting();
-        }
-    }
-
-    private void resumeAccepting() {
-        if (drainRequested || stopping) {
-            return;
-        }
-        try {
-            if (acceptingStopped) {
-                pipeline.acceptor.resumeAccepting(address());
-                acceptingStopped = false;
-            }
-            pipeline.acceptor.setReady(true);
-        } catch (IOException e) {
-            LOG.logFailure(Level.WARNING, "accept_resume_failed", e);
-            loop.schedule(loop.nowUs() + config.reportIntervalUs, this::resumeAccepting);
-        }
-    }
-
-    /** Sets the address that clients are served at, which is used again when accepting resumes. */
-    void setServingAddress(InetSocketAddress address) {
-        servingAddress = address;
-    }
-
-    private InetSocketAddress address() {
-        return servingAddress == null ? configuredAddress : servingAddress;
+        drain.setRequested(draining);
     }
 
     @Override
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -32,6 +32,8 @@
     private final RequestPipeline pipeline;
     /** Null if no other sites are configured. */
     private final GatewayIntegration gateway;
+
+    private final MaintenanceDrain maintenanceDrain;
     /** Null if maintenance coordination is not configured. */
     private final MaintenanceIntegration maintenance;
     /** Whether the start no longer waits for maintenance: agreed, timed out or not required. */
@@ -82,12 +84,13 @@
                     .http2()
                     .enable(config.http2, node -> endpointList.matches(node, config.http2.offers));
         }
+        maintenanceDrain = new MaintenanceDrain(loop, pipeline, config.listen);
         gateway = config.gateway == null
                 ? null
                 : new GatewayIntegration(loop, network, config, pipeline);
         maintenance = config.maintenance == null
                 ? null
-                : new MaintenanceIntegration(loop, network, config, pipeline);
+                : new MaintenanceIntegration(loop, network, config, pipeline, maintenanceDrain);
     }
 
     /**
@@ -222,9 +225,7 @@
                 warmup.handOverClients();
                 warmup = null;
             }
-            if (maintenance != null) {
-                maintenance.setServingAddress(network.address());
-            }
+            maintenanceDrain.servingStarted(network.address());
             servingLatch.countDown();
             LOG.log(
                     Level.INFO,
@@ -276,6 +277,19 @@
         return loop.submitAndWait(() -> dispatcher.http2().counters().get(name));
     }
 
+    /**
+     * Drains the router for maintenance, or ends the drain. Otherwise the cluster decides on it. For use from
+     * other threads.
+     */
+    public void setDraining(boolean draining) {
+        loop.execute(() -> maintenanceDrain.setRequested(draining));
+    }
+
+    /** The number of clients and lookups that a drain for maintenance waits for. For use from other threads. */
+    public int workInFlight() {
+        return loop.submitAndWait(maintenanceDrain::workInFlight);
+    }
+
     /** Stops at once, regardless of lookups in flight. For use from other threads. */
     public void stopNow() {
         loop.execute(loop::stop);
@@ -327,9 +341,7 @@
                 () -> stopWhenEmpty(lastUs));
         acceptor.markNotReady();
         maintenanceReady = true;
-        if (maintenance != null) {
-            maintenance.stopping();
-        }
+        maintenanceDrain.shutdownStarted();
         if (warmup != null) {
             warmup.end(); // The clients that wait for its end are served while there is time.
         }
--- a/src/test/java/tinlink/RouterScenarioPlayer.java
+++ b/src/test/java/tinlink/RouterScenarioPlayer.java
@@ -99,6 +99,8 @@
     private Thread stopThread;
     /** Whether the decision module is wrapped in a {@link FaultyCoordinator}. */
     private boolean faulty;
+    /** Whether the router is drained for maintenance before it starts. */
+    private boolean drainedAtStart;
     /** While set, each turn of the event loop waits here after its start. */
     private final AtomicReference<CountDownLatch> turnGate = new AtomicReference<>();
     /** While set, each timer of the decision module waits here. */
@@ -273,6 +275,20 @@
                 stopThread.join(TIMEOUT_MS);
                 assertEquals(false, stopThread.isAlive(), "the router has not stopped");
             }
+            case "drain" -> {
+                drainedAtStart = router == null;
+                if (router != null) {
+                    router.setDraining(true);
+                }
+            }
+            case "resume" -> router.setDraining(false);
+            case "drained" -> {
+                long deadlineNs = System.nanoTime() + 1_000_000L * TIMEOUT_MS;
+                while (router.workInFlight() > 0 && System.nanoTime() < deadlineNs) {
+                    Thread.sleep(1);
+                }
+                assertEquals(0, router.workInFlight(), "clients and lookups");
+            }
             case "log" -> {
                 long deadlineNs = System.nanoTime() + 1_000_000L * TIMEOUT_MS;
                 String next = unreadLogLines.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
@@ -353,6 +369,9 @@
         QueryCoordinator module =
                 faulty ? new FaultyCoordinator(config.decision.module) : config.decision.module;
         router = new Router(config, new GatedCoordinator(module), this::runCompletion);
+        if (drainedAtStart) {
+            router.setDraining(true);
+        }
         earlyClients.forEach(Thread::start);
         if (warm) {
             router.warmUp();
--- a/src/test/java/tinlink/experiment/TwoSitesPlayer.java
+++ b/src/test/java/tinlink/experiment/TwoSitesPlayer.java
@@ -113,6 +113,10 @@
                 stopping.join(PATIENCE_MS);
                 assertEquals(false, stopping.isAlive(), "still stopping");
             }
+            case "drain" -> world.routers.get(w[1]).drain(true);
+            case "resume" -> world.routers.get(w[1]).drain(false);
+            case "busy" -> assertEquals(false, world.routers.get(w[1]).drained(), "drained");
+            case "drained" -> until(() -> world.routers.get(w[1]).drained(), "not drained");
             case "keys" -> {
                 TwoSites.RunningRouter r = world.routers.get(w[1]);
                 String now = Files.readString(r.gatewayFile()).replaceAll("keys: .*", rest + ",");
