--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -208,7 +208,22 @@
         server.partEnded(part, status, value, retryAfterUs);
     }
 
-    // ---- Shutdown. ----
+    // ---- Drain and shutdown. ----
+
+    /** Tells the forwarding routers to send no further parts; those that come all the same still start. */
+    public void withdrawCells() {
+        server.withdrawCells();
+    }
+
+    /** Starts no further part of another site; each is answered as not started. */
+    public void pause() {
+        server.pause();
+    }
+
+    /** Ends a drain: parts of other sites start again, and the forwarding routers are told so. */
+    public void resume() {
+        server.resume();
+    }
 
     /** Sends each forwarding router a go-away with its last started part; running parts continue. */
     public void startDraining() {
--- a/src/main/java/tinlink/gateway/GatewayServer.java
+++ b/src/main/java/tinlink/gateway/GatewayServer.java
@@ -42,6 +42,8 @@
     private BitSet reachableCells = new BitSet();
 
     private boolean draining;
+    /** Whether no cells are announced, whichever this router reaches. */
+    private boolean withdrawn;
 
     GatewayServer(Gateway gateway) {
         this.gateway = gateway;
@@ -77,7 +79,28 @@
     }
 
     private void sendCells(GatewayServerSession session) {
-        session.send(new GatewayMessage.ServedCells(reachableCells));
+        session.send(new GatewayMessage.ServedCells(withdrawn ? new BitSet() : reachableCells));
+    }
+
+    /**
+     * Announces that no cells are served, until {@link #resume}. A go-away can't be taken back, so it would
+     * keep the forwarding routers away after the drain has ended.
+     */
+    void withdrawCells() {
+        withdrawn = true;
+        authenticated.keySet().forEach(this::sendCells);
+    }
+
+    /** Answers further parts as not started, until {@link #resume}; running parts continue. */
+    void pause() {
+        receiver.setPaused(true);
+    }
+
+    /** Starts parts and announces the reachable cells again. */
+    void resume() {
+        receiver.setPaused(false);
+        withdrawn = false;
+        authenticated.keySet().forEach(this::sendCells);
     }
 
     /** Sends each forwarding router a go-away with its last started part; running parts continue. */
--- a/src/main/java/tinlink/gateway/forwarding/ForwardedPartReceiver.java
+++ b/src/main/java/tinlink/gateway/forwarding/ForwardedPartReceiver.java
@@ -40,6 +40,7 @@
 
     private int running;
     private boolean draining;
+    private boolean paused;
     private long now;
     /** The time of the requested wake-up; {@link Long#MAX_VALUE} if none is requested. */
     private long wakeAt = Long.MAX_VALUE;
@@ -115,11 +116,12 @@
         }
         channel.add(part);
         boolean atLimit = running >= limits.maxRunning();
-        if (draining || !inTime || atLimit || channel.running() >= windowOfEachChannel()) {
+        boolean refused = draining || paused;
+        if (refused || !inTime || atLimit || channel.running() >= windowOfEachChannel()) {
             if (atLimit) {
                 concurrencyLimit.onRejected();
             }
-            recordEnd(part, draining ? PartStatus.NOT_STARTED : PartStatus.REJECTED, 0);
+            recordEnd(part, refused ? PartStatus.NOT_STARTED : PartStatus.REJECTED, 0);
             return;
         }
         running++;
@@ -209,6 +211,11 @@
         draining = true;
     }
 
+    /** While paused, no new part starts, and running parts continue. Unlike a stop it can end. */
+    public void setPaused(boolean paused) {
+        this.paused = paused;
+    }
+
     /** How many parts of other sites are running on this router. */
     public int running() {
         return running;
--- a/src/main/java/tinlink/router/MaintenanceDrain.java
+++ b/src/main/java/tinlink/router/MaintenanceDrain.java
@@ -1,5 +1,6 @@
 package tinlink.router;
 
+import tinlink.gateway.Gateway;
 import tinlink.net.EventLog;
 import tinlink.net.EventLoop;
 
@@ -8,8 +9,8 @@
 import java.util.logging.Level;
 
 /**
- * Drains this router for maintenance. Unlike the drain at a shutdown it can be called off, after which the
- * router accepts clients again.
+ * Drains this router for maintenance: clients, and parts that routers of other sites forward. Unlike the drain
+ * at a shutdown it can be called off, after which the router accepts both again.
  */
 final class MaintenanceDrain {
     private static final EventLog LOG = new EventLog("tinlink.maintenance");
@@ -17,25 +18,34 @@
 
     private final EventLoop loop;
     private final RequestPipeline pipeline;
+    /** Null if no other sites are configured. */
+    private final Gateway gateway;
 
     private boolean requested;
     private boolean shuttingDown;
-    /** Whether this drain has stopped the accepting of clients. */
+    /** Whether this drain has stopped the accepting of clients and parts. */
     private boolean acceptingStopped;
     /** The address that clients are served at, which a resumed listener uses again. */
     private InetSocketAddress servingAddress;
 
-    /** @param configuredAddress the address for clients in the configuration, used until one is served */
+    /**
+     * @param gateway null if no other sites are configured
+     * @param configuredAddress the address for clients in the configuration, used until one is served
+     */
     MaintenanceDrain(
-            EventLoop loop, RequestPipeline pipeline, InetSocketAddress configuredAddress) {
+            EventLoop loop,
+            RequestPipeline pipeline,
+            Gateway gateway,
+            InetSocketAddress configuredAddress) {
         this.loop = loop;
         this.pipeline = pipeline;
+        this.gateway = gateway;
         servingAddress = configuredAddress;
     }
 
     /**
-     * Starts or ends the drain. The router reports "not ready" and still accepts clients for the drain
-     * notice, until others have noticed; then it stops.
+     * Starts or ends the drain. The router reports "not ready" and announces no cells to other
+     * sites. It still accepts clients and parts for the drain notice, until others have noticed.
      */
     void setRequested(boolean drainRequested) {
         requested = drainRequested;
@@ -44,6 +54,9 @@
         }
         if (requested) {
             pipeline.acceptor.markNotReady();
+            if (gateway != null) {
+                gateway.withdrawCells();
+            }
             loop.schedule(loop.nowUs() + Router.DRAIN_NOTICE_US, this::stopAccepting);
         } else {
             resumeAccepting();
@@ -60,7 +73,10 @@
         shuttingDown = true;
     }
 
-    /** The number of clients and lookups that the drain waits for, and one while clients are accepted. */
+    /**
+     * The number of clients and lookups that the drain waits for, and one while new ones are accepted. A part
+     * of another site is a lookup here.
+     */
     int workInFlight() {
         return (acceptingStopped ? 0 : 1)
                 + pipeline.acceptor.clients()
@@ -71,6 +87,9 @@
         if (requested && !acceptingStopped && !shuttingDown) {
             acceptingStopped = true;
             pipeline.acceptor.stopAccepting();
+            if (gateway != null) {
+                gateway.pause();
+            }
         }
     }
 
@@ -84,6 +103,9 @@
                 acceptingStopped = false;
             }
             pipeline.acceptor.setReady(true);
+            if (gateway != null) {
+                gateway.resume();
+            }
         } catch (IOException e) {
             LOG.logFailure(Level.WARNING, "accept_resume_failed", e);
             loop.schedule(loop.nowUs() + RESUME_RETRY_US, this::resumeAccepting);
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -84,10 +84,11 @@
                     .http2()
                     .enable(config.http2, node -> endpointList.matches(node, config.http2.offers));
         }
-        maintenanceDrain = new MaintenanceDrain(loop, pipeline, config.listen);
         gateway = config.gateway == null
                 ? null
                 : new GatewayIntegration(loop, network, config, pipeline);
+        maintenanceDrain = new MaintenanceDrain(
+                loop, pipeline, gateway == null ? null : gateway.gateway(), config.listen);
         maintenance = config.maintenance == null
                 ? null
                 : new MaintenanceIntegration(loop, network, config, pipeline, maintenanceDrain);
--- a/src/test/java/tinlink/gateway/forwarding/ForwardingPlayer.java
+++ b/src/test/java/tinlink/gateway/forwarding/ForwardingPlayer.java
@@ -39,8 +39,17 @@
         }
     }
 
-    private static final Set<String> RECEIVER_INPUTS =
-            Set.of("opens", "closes", "comes", "ends", "given-up", "lowest", "asks", "leaves");
+    private static final Set<String> RECEIVER_INPUTS = Set.of(
+            "opens",
+            "closes",
+            "comes",
+            "ends",
+            "given-up",
+            "lowest",
+            "asks",
+            "leaves",
+            "pauses",
+            "resumes");
 
     private record Timer(long at, Runnable task) {}
 
@@ -228,6 +237,8 @@
                                 .map(Long::parseLong)
                                 .collect(Collectors.toSet()));
             case "leaves" -> receiver.startDraining();
+            case "pauses" -> receiver.setPaused(true);
+            case "resumes" -> receiver.setPaused(false);
             default -> throw new IllegalArgumentException("unknown input '" + name + "'");
         }
     }
