A router that is started while it is out waits for discovery, and does not end

A start while out with discovery silent ended with status 1. Cause: the drain closed the listener half a second after the cluster had asked for it, while the start, with polled lists, still waited for the list and then asked the closed socket for its address (ClosedChannelException in Router.serveWhenReady). A drain now closes the listener only once clients are served.

--- a/src/main/java/tinlink/router/MaintenanceDrain.java
+++ b/src/main/java/tinlink/router/MaintenanceDrain.java
@@ -25,22 +25,14 @@
     private boolean shuttingDown;
     /** Whether this drain has stopped the accepting of clients and parts. */
     private boolean acceptingStopped;
-    /** The address that clients are served at, which a resumed listener uses again. */
+    /** The address that clients are served at, which a resumed listener uses again; null before that. */
     private InetSocketAddress servingAddress;
 
-    /**
-     * @param gateway null if no other sites are configured
-     * @param configuredAddress the address for clients in the configuration, used until one is served
-     */
-    MaintenanceDrain(
-            EventLoop loop,
-            RequestPipeline pipeline,
-            Gateway gateway,
-            InetSocketAddress configuredAddress) {
+    /** @param gateway null if no other sites are configured */
+    MaintenanceDrain(EventLoop loop, RequestPipeline pipeline, Gateway gateway) {
         this.loop = loop;
         this.pipeline = pipeline;
         this.gateway = gateway;
-        servingAddress = configuredAddress;
     }
 
     /**
@@ -63,9 +55,12 @@
         }
     }
 
-    /** Sets the address that clients are served at from now on. */
+    /** Called when clients are served, at the given address; a drain that was requested before begins now. */
     void servingStarted(InetSocketAddress address) {
         servingAddress = address;
+        if (requested) {
+            setRequested(true);
+        }
     }
 
     /** Called when the router shuts down, which drains it by itself; requests have no effect afterwards. */
@@ -83,8 +78,10 @@
                 + pipeline.driver.inFlight();
     }
 
+    /** A router that does not serve yet keeps its listener, which its start still needs. */
     private void stopAccepting() {
-        if (requested && !acceptingStopped && !shuttingDown) {
+        boolean serving = servingAddress != null;
+        if (requested && serving && !acceptingStopped && !shuttingDown) {
             acceptingStopped = true;
             pipeline.acceptor.stopAccepting();
             if (gateway != null) {
--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -87,8 +87,8 @@
         gateway = config.gateway == null
                 ? null
                 : new GatewayIntegration(loop, network, config, pipeline);
-        maintenanceDrain = new MaintenanceDrain(
-                loop, pipeline, gateway == null ? null : gateway.gateway(), config.listen);
+        maintenanceDrain =
+                new MaintenanceDrain(loop, pipeline, gateway == null ? null : gateway.gateway());
         maintenance = config.maintenance == null
                 ? null
                 : new MaintenanceIntegration(loop, network, config, pipeline, maintenanceDrain);
--- a/src/test/java/tinlink/RouterScenarioPlayer.java
+++ b/src/test/java/tinlink/RouterScenarioPlayer.java
@@ -281,7 +281,10 @@
                     router.setDraining(true);
                 }
             }
-            case "resume" -> router.setDraining(false);
+            case "resume" -> {
+                router.setDraining(false);
+                assertEquals(1, router.workInFlight(), "the router accepts clients again");
+            }
             case "drained" -> {
                 long deadlineNs = System.nanoTime() + 1_000_000L * TIMEOUT_MS;
                 while (router.workInFlight() > 0 && System.nanoTime() < deadlineNs) {
