--- a/src/main/java/tinlink/experiment/TwoSites.java
+++ b/src/main/java/tinlink/experiment/TwoSites.java
@@ -143,8 +143,8 @@
         }
 
         /** Drains it for maintenance, or ends the drain. */
-        public void drain(boolean on) {
-            router.setDraining(on);
+        public void drain(boolean draining) {
+            router.setDraining(draining);
         }
 
         /** Whether a drain for maintenance waits for nothing any more. */
--- a/src/main/java/tinlink/router/MaintenanceDrain.java
+++ b/src/main/java/tinlink/router/MaintenanceDrain.java
@@ -9,8 +9,8 @@
 import java.util.logging.Level;
 
 /**
- * Drains this router for maintenance: clients, and parts that routers of other sites forward. Unlike the drain
- * at a shutdown it can be called off, after which the router accepts both again.
+ * Drains this router for maintenance: clients, and parts that routers of other sites forward. Unlike the
+ * drain at a shutdown it can be called off, after which the router accepts both again.
  */
 final class MaintenanceDrain {
     private static final EventLog LOG = new EventLog("tinlink.maintenance");
