--- a/src/main/java/tinlink/router/Router.java
+++ b/src/main/java/tinlink/router/Router.java
@@ -286,7 +286,7 @@
         loop.execute(() -> maintenanceDrain.setRequested(draining));
     }
 
-    /** The clients and lookups that a drain for maintenance waits for, counted. For use from other threads. */
+    /** The work that a drain for maintenance waits for, as a count. For use from other threads. */
     public int workInFlight() {
         return loop.submitAndWait(maintenanceDrain::workInFlight);
     }
