Gateway: one state of the receiver for a stop and for a drain for maintenance

The drain for maintenance had brought a flag of its own beside draining, with the same effect: no part starts, each is answered as not started. ForwardedPartReceiver has the one, which resume() ends; GatewayServer sends its cells to all routers in one place. Behaviour stays: no input can end the drain after a stop has begun, since MaintenanceDrain ignores requests from then on. The scenario texts and their expectations are unchanged.

--- a/src/main/java/tinlink/gateway/GatewayServer.java
+++ b/src/main/java/tinlink/gateway/GatewayServer.java
@@ -74,10 +74,14 @@
     void announceCells(BitSet cells) {
         if (!cells.equals(reachableCells)) {
             reachableCells = cells;
-            authenticated.keySet().forEach(this::sendCells);
+            sendCellsToAll();
         }
     }
 
+    private void sendCellsToAll() {
+        authenticated.keySet().forEach(this::sendCells);
+    }
+
     private void sendCells(GatewayServerSession session) {
         session.send(new GatewayMessage.ServedCells(withdrawn ? new BitSet() : reachableCells));
     }
@@ -88,19 +92,19 @@
      */
     void withdrawCells() {
         withdrawn = true;
-        authenticated.keySet().forEach(this::sendCells);
+        sendCellsToAll();
     }
 
     /** Answers further parts as not started, until {@link #resume}; running parts continue. */
     void pause() {
-        receiver.setPaused(true);
+        receiver.startDraining();
     }
 
     /** Starts parts and announces the reachable cells again. */
     void resume() {
-        receiver.setPaused(false);
+        receiver.resume();
         withdrawn = false;
-        authenticated.keySet().forEach(this::sendCells);
+        sendCellsToAll();
     }
 
     /** Sends each forwarding router a go-away with its last started part; running parts continue. */
--- a/src/main/java/tinlink/gateway/forwarding/ForwardedPartReceiver.java
+++ b/src/main/java/tinlink/gateway/forwarding/ForwardedPartReceiver.java
@@ -40,7 +40,6 @@
 
     private int running;
     private boolean draining;
-    private boolean paused;
     private long now;
     /** The time of the requested wake-up; {@link Long#MAX_VALUE} if none is requested. */
     private long wakeAt = Long.MAX_VALUE;
@@ -116,12 +115,11 @@
         }
         channel.add(part);
         boolean atLimit = running >= limits.maxRunning();
-        boolean refused = draining || paused;
-        if (refused || !inTime || atLimit || channel.running() >= windowOfEachChannel()) {
+        if (draining || !inTime || atLimit || channel.running() >= windowOfEachChannel()) {
             if (atLimit) {
                 concurrencyLimit.onRejected();
             }
-            recordEnd(part, refused ? PartStatus.NOT_STARTED : PartStatus.REJECTED, 0);
+            recordEnd(part, draining ? PartStatus.NOT_STARTED : PartStatus.REJECTED, 0);
             return;
         }
         running++;
@@ -206,14 +204,14 @@
         }
     }
 
-    /** This router is stopping: no new part starts, and running parts continue. */
+    /** This router stops or is drained for maintenance: no new part starts, and running parts continue. */
     public void startDraining() {
         draining = true;
     }
 
-    /** While paused, no new part starts, and running parts continue. Unlike a stop it can end. */
-    public void setPaused(boolean paused) {
-        this.paused = paused;
+    /** A drain for maintenance has ended: parts start again. */
+    public void resume() {
+        draining = false;
     }
 
     /** How many parts of other sites are running on this router. */
--- a/src/test/java/tinlink/gateway/forwarding/ForwardingPlayer.java
+++ b/src/test/java/tinlink/gateway/forwarding/ForwardingPlayer.java
@@ -236,9 +236,8 @@
                                 .skip(3)
                                 .map(Long::parseLong)
                                 .collect(Collectors.toSet()));
-            case "leaves" -> receiver.startDraining();
-            case "pauses" -> receiver.setPaused(true);
-            case "resumes" -> receiver.setPaused(false);
+            case "leaves", "pauses" -> receiver.startDraining();
+            case "resumes" -> receiver.resume();
             default -> throw new IllegalArgumentException("unknown input '" + name + "'");
         }
     }
