--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
 # Exit status: 1 the rule was broken, 0 it held, 2 it could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -f target/tinlink.jar ] || [ ! -f review/build/2/Kit.class ] || [ ! -f review/build/2/OutInFlight.class ]; then
+build=review/standins-2/build
+if [ ! -f target/tinlink.jar ] || [ ! -f $build/Kit.class ] || [ ! -f $build/StopWithAnswersOut.class ]; then
     echo "run the build of the deploy file and review/build-2.sh first" >&2
     exit 2
 fi
-exec java -Xmx256m -cp "review/build/2:target/lib/*" OutInFlight review/7/record.txt
+exec java -Xmx256m -cp "$build:target/lib/*" StopWithAnswersOut review/7/record.txt
--- a/review/standins-2/DataNode.java
+++ b/review/standins-2/DataNode.java
@@ -42,6 +42,8 @@
     volatile int padding;
     /** Bytes a millisecond that a connection carries to the router; 0: as fast as it can. */
     volatile int bytesPerMs;
+    /** The longest time from the first byte of an answer to its last one, as they were written. */
+    volatile long longestAnswerMs;
     /** Bytes of a piece in which the stream of answers is written; 0: each answer in one piece. */
     volatile int pieceBytes;
 
@@ -115,6 +117,8 @@
         private final OutputStream socket;
         private final java.util.concurrent.LinkedBlockingQueue<byte[]> frames =
                 new java.util.concurrent.LinkedBlockingQueue<>();
+        /** Answers that are not written whole: bytes left, time of the first byte or -1. */
+        private final java.util.ArrayDeque<long[]> unwritten = new java.util.ArrayDeque<>();
 
         PacedOutput(OutputStream socket) {
             this.socket = socket;
@@ -131,17 +135,38 @@
             frames.add(frame);
         }
 
+        private byte[] take() throws InterruptedException {
+            byte[] frame = frames.take();
+            unwritten.add(new long[] {frame.length, -1});
+            return frame;
+        }
+
+        private void written(int bytes) {
+            int left = bytes;
+            while (left > 0) {
+                long[] answer = unwritten.peek();
+                answer[1] = answer[1] < 0 ? Kit.nowMs() : answer[1];
+                int part = (int) Math.min(left, answer[0]);
+                left -= part;
+                answer[0] -= part;
+                if (answer[0] == 0) {
+                    longestAnswerMs = Math.max(longestAnswerMs, Kit.nowMs() - answer[1]);
+                    unwritten.poll();
+                }
+            }
+        }
+
         private void writeAll() throws Exception {
             byte[] rest = {};
             long dueNs = System.nanoTime();
             while (true) {
-                byte[] next = rest.length == 0 ? frames.take() : rest;
+                byte[] next = rest.length == 0 ? take() : rest;
                 if (pieceBytes > 0) {
                     // The next answer's begin goes with the end of the one before, as in a buffered stream.
                     ByteArrayOutputStream all = new ByteArrayOutputStream();
                     all.writeBytes(next);
                     while (all.size() < pieceBytes && !frames.isEmpty()) {
-                        all.writeBytes(frames.take());
+                        all.writeBytes(take());
                     }
                     next = all.toByteArray();
                 }
@@ -152,6 +177,7 @@
                 }
                 socket.write(next, 0, length);
                 socket.flush();
+                written(length);
                 rest = java.util.Arrays.copyOfRange(next, length, next.length);
             }
         }
