--- a/src/main/java/tinlink/http2/pool/ConnectionPool.java
+++ b/src/main/java/tinlink/http2/pool/ConnectionPool.java
@@ -13,6 +13,9 @@
  * no I/O and reads no clock. Times are microseconds. Not thread-safe: all calls come from the owner's thread.
  */
 public final class ConnectionPool {
+    /** How often a connection may be tried within {@link Settings#maxWaitUs()} while connects fail. */
+    private static final int CONNECTS_PER_WAIT = 4;
+
     /**
      * The limits of a pool; times are microseconds.
      *
@@ -57,6 +60,8 @@
 
     /** The time until which the node is assumed not to speak HTTP/2. */
     private long fallbackUntil = Long.MIN_VALUE;
+    /** The time until which no further connection is opened, because the last connect failed. */
+    private long connectAgainAt = Long.MIN_VALUE;
     /** The number of the last ping that was sent; unique over all connections of the pool. */
     private long lastPing;
 
@@ -154,16 +159,23 @@
      * attempt a connect, so {@link #supportsHttp2} is false for a while. A node that merely can't be reached
      * must not be taken for such a node.
      *
+     * <p>A connect that fails changes nothing about the attempts that wait for the other connections. Without
+     * a delay the next decision would be to connect again, and {@link #decide} would never return false if
+     * connects fail at once, as they do while the process has no file descriptor left.
+     *
      * @param wasUp whether the connection had been established
-     * @param result the result of waiting attempts if no connection is left for them
+     * @param result the result of waiting attempts if no connection is left that could take them
      */
     public void onConnectionEnded(PooledConnection connection, boolean wasUp, CallResult result) {
         connection.onClosed();
         connections.remove(connection);
         if (wasUp && !connection.settingsReceived()) {
             fallbackUntil = now + settings.fallbackUs();
-        } else if (!wasUp && connections.isEmpty()) {
-            endPending(result);
+        } else if (!wasUp) {
+            connectAgainAt = now + Math.max(1, settings.maxWaitUs() / CONNECTS_PER_WAIT);
+            if (!isAnyUsable()) {
+                endPending(result);
+            }
         }
     }
 
@@ -258,6 +270,7 @@
         if (nodeRemoved
                 || expectedCapacity() >= pending.size()
                 || activeConnections() >= settings.maxConnections()
+                || isConnectDelayed()
                 || refused) {
             return false;
         }
@@ -283,6 +296,16 @@
         return connections.stream().anyMatch(PooledConnection::isReady);
     }
 
+    /** Whether any connection takes attempts, now or once it is established. */
+    private boolean isAnyUsable() {
+        return connections.stream()
+                .anyMatch(connection -> connection.isReady() || connection.isComingUp());
+    }
+
+    private boolean isConnectDelayed() {
+        return now < connectAgainAt && isAnyUsable();
+    }
+
     private boolean expirePending(PoolHandler handler) {
         boolean anyReady = isAnyReady();
         for (PendingCall call : pending) {
@@ -304,6 +327,9 @@
         for (PooledConnection connection : connections) {
             dueAt = Math.min(dueAt, connection.nextDueAt());
         }
+        if (!pending.isEmpty() && isConnectDelayed()) {
+            dueAt = Math.min(dueAt, connectAgainAt);
+        }
         if (dueAt >= wakeAt) {
             return false;
         }
--- a/src/main/java/tinlink/http2/pool/PoolHandler.java
+++ b/src/main/java/tinlink/http2/pool/PoolHandler.java
@@ -5,6 +5,10 @@
  * {@link ConnectionPool#decide}.
  */
 public interface PoolHandler {
+    /**
+     * Starts to connect. If that fails at once, {@link ConnectionPool#onConnectionEnded} is called before
+     * this method returns.
+     */
     void openConnection(PooledConnection connection);
 
     /** Opens a stream for the attempt on the connection. */
--- a/src/test/java/tinlink/http2/pool/ConnectionPoolPlayer.java
+++ b/src/test/java/tinlink/http2/pool/ConnectionPoolPlayer.java
@@ -1,6 +1,7 @@
 package tinlink.http2.pool;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import tinlink.Scenarios;
 
@@ -16,6 +17,9 @@
  * Plays a scenario against {@link ConnectionPool}. The notation is described in docs/scenarios.md.
  */
 public final class ConnectionPoolPlayer implements PoolHandler {
+    /** More decisions at one moment than any script asks for. */
+    private static final int MAX_DECISIONS_AT_ONCE = 1000;
+
     private static final class TestCall extends PendingCall {
         private final String name;
 
@@ -53,6 +57,8 @@
     private final Map<String, TestCall> calls = new HashMap<>();
     /** The index of the connection on which an attempt was started, by the name of the attempt. */
     private final Map<String, Integer> placed = new HashMap<>();
+    /** Whether the process has a file descriptor left for a new connection. */
+    private boolean hasDescriptors = true;
     /** Null until the first input, so that the script can change settings before it. */
     private ConnectionPool pool;
     /** The time, microseconds. */
@@ -109,8 +115,11 @@
 
     private void runAllDecisions() {
         pool.advanceClock(now);
+        int decisions = 0;
         while (pool.decide(this)) {
             // The handler's methods record each decision.
+            decisions++;
+            assertTrue(decisions < MAX_DECISIONS_AT_ONCE, "the decisions have no end");
         }
     }
 
@@ -141,6 +150,7 @@
                         connection(words[1]), words.length < 3, CallResult.NO_CONNECTION);
             case "draining" -> pool.dropPending();
             case "gone" -> pool.onNodeRemoved();
+            case "descriptors" -> hasDescriptors = words[1].equals("left");
             default -> throw new IllegalArgumentException(words[0]);
         }
     }
@@ -148,7 +158,12 @@
     @Override
     public void openConnection(PooledConnection pooled) {
         connections.add(pooled);
-        decided.add("open " + (connections.size() - 1));
+        if (hasDescriptors) {
+            decided.add("open " + (connections.size() - 1));
+        } else {
+            decided.add("fail " + (connections.size() - 1));
+            pool.onConnectionEnded(pooled, false, CallResult.NOT_SENT);
+        }
     }
 
     @Override
