Clients: at most 128 header fields a request; very many short ones cost too much time

Cause: the size of a head was limited, the number of its fields was not, and each costs objects and look-ups far beyond its bytes.

Change: RequestHead rejects the 129th field with 431.

--- a/src/main/java/tinlink/net/ProtocolLimits.java
+++ b/src/main/java/tinlink/net/ProtocolLimits.java
@@ -4,8 +4,13 @@
 public final class ProtocolLimits {
     /** The maximum size of a body, and thus of a query's text or of a value. */
     public static final int MAX_BODY_BYTES = 64 << 10;
-    /** The maximum size of the lines before a body or a value. */
+    /**
+     * The maximum size of the lines before a body or a value, and of all the lines that divide the body of a
+     * request into chunks: a chunk of one byte costs far more than its bytes.
+     */
     public static final int MAX_HEAD_BYTES = 16 << 10;
+    /** The maximum number of header fields of a request; each costs far more than its bytes. */
+    public static final int MAX_HEAD_FIELDS = 128;
     /**
      * The maximum number of unread bytes that a connection buffers. A connection with a full buffer
      * is not read, so its end is not noticed either.
--- a/src/main/java/tinlink/router/RequestHead.java
+++ b/src/main/java/tinlink/router/RequestHead.java
@@ -3,6 +3,7 @@
 import tinlink.net.HeapCharge;
 import tinlink.net.MessageRejectedException;
 import tinlink.net.ObjectSizes;
+import tinlink.net.ProtocolLimits;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -24,6 +25,7 @@
 
     private final HeapCharge heapCharge;
     private final Map<String, String> fields = new HashMap<>();
+    private int fieldCount;
     private String method = "";
     private String path = "";
     private String version = "";
@@ -45,10 +47,15 @@
         path = queryStart < 0 ? target : target.substring(0, queryStart);
         version = httpVersion;
         fields.clear();
+        fieldCount = 0;
     }
 
-    /** @throws MessageRejectedException if a field that may occur once occurs again */
+    /** @throws MessageRejectedException for too many fields, or a second one that may occur once */
     void add(String name, String value) throws MessageRejectedException {
+        // Heads of very many short fields would keep the event loop busy.
+        if (++fieldCount > ProtocolLimits.MAX_HEAD_FIELDS) {
+            throw new MessageRejectedException(431, "the head has too many fields");
+        }
         heapCharge.add(ObjectSizes.ENTRY
                 + ObjectSizes.latin1String(name.length())
                 + ObjectSizes.latin1String(value.length()));
--- a/src/test/java/tinlink/router/RequestHeadTest.java
+++ b/src/test/java/tinlink/router/RequestHeadTest.java
@@ -1,12 +1,16 @@
 package tinlink.router;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 import org.openjdk.jol.info.GraphLayout;
 
 import tinlink.net.HeapAllowance;
+import tinlink.net.HeapCharge;
 import tinlink.net.MessageRejectedException;
+import tinlink.net.ProtocolLimits;
 
 import java.util.SplittableRandom;
 
@@ -31,4 +35,17 @@
                     () -> "charged " + allowance.usedBytes() + " of " + retainedBytes + " bytes");
         }
     }
+
+    /** Guards against heads of very many short fields, which took far more time than their bytes. */
+    @Test
+    void aHeadOfTooManyFieldsIsRejected() throws MessageRejectedException {
+        RequestHead head = new RequestHead(HeapCharge.UNLIMITED);
+        head.startLine("POST", "/api", "HTTP/1.1");
+        for (int i = 0; i < ProtocolLimits.MAX_HEAD_FIELDS; i++) {
+            head.add("a", "");
+        }
+        MessageRejectedException rejection =
+                assertThrows(MessageRejectedException.class, () -> head.add("a", ""));
+        assertEquals(431, rejection.status);
+    }
 }
