HTTP/1.1: the lines between the chunks of a request are limited together, not one by one

What callers would see: a body in chunks of one byte takes six bytes on the wire and the parsing of two lines for each, so that a few hundred clients with such bodies keep the event loop busy.

Cause: the limit on lines began anew with each chunk, and each size ran a regex.

--- a/src/main/java/tinlink/net/HttpReader.java
+++ b/src/main/java/tinlink/net/HttpReader.java
@@ -46,7 +46,7 @@
 
     private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
     private static final Pattern LENGTH_PATTERN = Pattern.compile("[0-9]{1,18}");
-    private static final Pattern CHUNK_SIZE_PATTERN = Pattern.compile("[0-9a-fA-F]{1,8}");
+    private static final int MAX_CHUNK_SIZE_DIGITS = 8;
     private final MessageListener listener;
     private final boolean readsResponses;
     private final long maxBodyBytes;
@@ -115,7 +115,7 @@
 
     private void readHeadByte(byte b) throws MessageRejectedException {
         if (++headBytes > ProtocolLimits.MAX_HEAD_BYTES) {
-            throw new MessageRejectedException(431, "the head is too long");
+            throw new MessageRejectedException(431, headLimitText());
         }
         if (b == '\n') {
             String completed = lineBuffer.toString();
@@ -134,6 +134,11 @@
         }
     }
 
+    private String headLimitText() {
+        boolean isChunkLine = state == State.CHUNK_SIZE || state == State.CHUNK_END;
+        return isChunkLine ? "the lines between the chunks are too long" : "the head is too long";
+    }
+
     private void endLine(String text) throws MessageRejectedException {
         switch (state) {
             case START_LINE -> {
@@ -154,7 +159,9 @@
                     throw new MessageRejectedException("a chunk is longer than it says");
                 }
                 state = State.CHUNK_SIZE;
-                headBytes = 0;
+                if (readsResponses) {
+                    headBytes = 0;
+                }
             }
             default -> {
                 if (text.isEmpty()) {
@@ -239,16 +246,31 @@
     private void readChunkSize(String text) throws MessageRejectedException {
         int end = text.indexOf(';');
         String hex = (end < 0 ? text : text.substring(0, end)).strip();
-        if (!CHUNK_SIZE_PATTERN.matcher(hex).matches()) {
-            throw new MessageRejectedException("a chunk has no size");
-        }
-        remainingBytes = Long.parseLong(hex, 16);
+        remainingBytes = parseHex(hex);
         chunkedBytes += remainingBytes;
         if (chunkedBytes > maxBodyBytes) {
             throw new MessageRejectedException(413, "the body is too long");
         }
-        headBytes = 0;
         state = remainingBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
+        if (readsResponses || state == State.TRAILERS) {
+            headBytes = 0;
+        }
+    }
+
+    private static long parseHex(String digits) throws MessageRejectedException {
+        long number = 0;
+        for (int i = 0; i < digits.length(); i++) {
+            char c = digits.charAt(i);
+            int digit = c < 0x80 ? Character.digit(c, 16) : -1;
+            if (digit < 0 || i == MAX_CHUNK_SIZE_DIGITS) {
+                throw new MessageRejectedException("a chunk has no size");
+            }
+            number = 16 * number + digit;
+        }
+        if (digits.isEmpty()) {
+            throw new MessageRejectedException("a chunk has no size");
+        }
+        return number;
     }
 
     private void endMessage() throws MessageRejectedException {
