Clients: bodies are parsed once complete, so many bytes a turn, the smallest first

The router was up, busy and late.

Cause: all that had arrived was parsed in one turn of the event loop, whether or not it would ever be complete; the parser took a lock for each byte, a decoder for each string, a regex for each number and a set look-up for each object's charge.

Change: IncomingRequest keeps a body as bytes until it is complete; ParseQueue parses 16 KiB of bodies a turn and takes the smallest of those that wait first; a request that waits for its client's time, or 2.25 s, gets 503. The parser has a buffer of its own. Half-sent bodies no longer become objects.

--- a/src/main/java/tinlink/net/JsonReader.java
+++ b/src/main/java/tinlink/net/JsonReader.java
@@ -1,11 +1,11 @@
 package tinlink.net;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +19,11 @@
 public final class JsonReader {
     private static final Pattern NUMBER =
             Pattern.compile("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?");
+
+    private static final int MAX_NUMBER_LENGTH = 40;
+    /** Whole numbers of so many digits are exact as a double. */
+    private static final int MAX_EXACT_DIGITS = 15;
+
     private static final int MAX_DEPTH = 16;
     private static final Object NONE = new Object();
     /** The initial capacity of the text buffer, which doubles when it is full. */
@@ -40,10 +45,13 @@
 
     private final ArrayDeque<Object> openContainers = new ArrayDeque<>();
     private final ArrayDeque<String> pendingNames = new ArrayDeque<>();
-    private final ByteArrayOutputStream text = new ByteArrayOutputStream(MIN_TEXT_BYTES);
     private final HeapCharge heapCharge;
-    /** The part of the text buffer's capacity that is charged, in bytes. */
-    private int chargedTextBytes = MIN_TEXT_BYTES;
+    /** The string or the word that is being read, in UTF-8. */
+    private byte[] text = new byte[MIN_TEXT_BYTES];
+
+    private int textLength;
+    /** Whether all bytes of the text are ASCII. */
+    private boolean isTextAscii = true;
 
     private State state = State.VALUE;
     private boolean isReadingName;
@@ -102,13 +110,13 @@
         if (state == State.COLON && b == ':') {
             state = State.VALUE;
         } else if (state == State.COMMA_OR_END && b == ',') {
-            state = isInside(Map.class) ? State.NAME : State.VALUE;
+            state = isInsideObject() ? State.NAME : State.VALUE;
         } else if ((b == '}'
                         && (state == State.NAME_OR_END
-                                || (state == State.COMMA_OR_END && isInside(Map.class))))
+                                || (state == State.COMMA_OR_END && isInsideObject())))
                 || (b == ']'
                         && (state == State.VALUE_OR_END
-                                || (state == State.COMMA_OR_END && isInside(List.class))))) {
+                                || (state == State.COMMA_OR_END && isInsideList())))) {
             completeValue(openContainers.pop());
         } else if (b == '"'
                 && state != State.COLON
@@ -143,8 +151,12 @@
         }
     }
 
-    private boolean isInside(Class<?> kind) {
-        return kind.isInstance(openContainers.peek());
+    private boolean isInsideObject() {
+        return openContainers.peek() instanceof Map;
+    }
+
+    private boolean isInsideList() {
+        return openContainers.peek() instanceof List;
     }
 
     private void readStringByte(byte b) throws MessageRejectedException {
@@ -152,7 +164,7 @@
             throw new MessageRejectedException("JSON: half a surrogate pair");
         }
         if (b == '"') {
-            int utf8Bytes = text.size();
+            int utf8Bytes = textLength;
             String s = takeText();
             heapCharge.add(ObjectSizes.decodedString(s, utf8Bytes));
             if (!isReadingName) {
@@ -172,12 +184,13 @@
         }
     }
 
-    private void appendText(int b) throws MessageRejectedException {
-        if (text.size() == chargedTextBytes) {
-            heapCharge.add(chargedTextBytes);
-            chargedTextBytes *= 2;
+    private void appendText(byte b) throws MessageRejectedException {
+        if (textLength == text.length) {
+            heapCharge.add(text.length);
+            text = Arrays.copyOf(text, 2 * text.length);
         }
-        text.write(b);
+        isTextAscii &= b >= 0;
+        text[textLength++] = b;
     }
 
     private void readEscape(byte b) throws MessageRejectedException {
@@ -187,7 +200,7 @@
             hexDigitsLeft = 4;
             state = State.HEX;
         } else if (plain >= 0 && highSurrogate == 0) {
-            appendText("\"\\/\b\f\n\r\t".charAt(plain));
+            appendText((byte) "\"\\/\b\f\n\r\t".charAt(plain));
             state = State.STRING;
         } else {
             throw new MessageRejectedException("JSON: an escape that does not exist");
@@ -223,11 +236,14 @@
 
     private String takeText() throws MessageRejectedException {
         try {
-            String s = decodeUtf8(ByteBuffer.wrap(text.toByteArray()));
-            text.reset();
-            return s;
+            return isTextAscii
+                    ? new String(text, 0, textLength, StandardCharsets.ISO_8859_1)
+                    : decodeUtf8(ByteBuffer.wrap(text, 0, textLength));
         } catch (CharacterCodingException e) {
             throw new MessageRejectedException("JSON: a string is not UTF-8");
+        } finally {
+            textLength = 0;
+            isTextAscii = true;
         }
     }
 
@@ -242,13 +258,33 @@
             case "false" -> completeValue(false);
             case "null" -> completeValue(null);
             default -> {
-                if (s.length() > 40 || !NUMBER.matcher(s).matches()) {
-                    throw new MessageRejectedException("JSON: neither a number nor a word");
-                }
                 heapCharge.add(ObjectSizes.NUMBER);
-                completeValue(Double.valueOf(s));
+                completeValue(numberOf(s));
+            }
+        }
+    }
+
+    private static Double numberOf(String word) throws MessageRejectedException {
+        if (isShortWholeNumber(word)) {
+            return (double) Long.parseLong(word);
+        }
+        if (word.length() > MAX_NUMBER_LENGTH || !NUMBER.matcher(word).matches()) {
+            throw new MessageRejectedException("JSON: neither a number nor a word");
+        }
+        return Double.valueOf(word);
+    }
+
+    /** Whether the word is a number of digits alone that is exact as a double; most numbers are. */
+    private static boolean isShortWholeNumber(String word) {
+        if (word.length() > MAX_EXACT_DIGITS || (word.charAt(0) == '0' && word.length() > 1)) {
+            return false;
+        }
+        for (int i = 0; i < word.length(); i++) {
+            if (word.charAt(i) < '0' || word.charAt(i) > '9') {
+                return false;
             }
         }
+        return true;
     }
 
     @SuppressWarnings("unchecked")
--- a/src/main/java/tinlink/router/ClientAcceptor.java
+++ b/src/main/java/tinlink/router/ClientAcceptor.java
@@ -22,6 +22,16 @@
 final class ClientAcceptor implements Network.AcceptHandler {
     private static final EventLog LOG = new EventLog("tinlink.clients");
 
+    /**
+     * The time within which a request has to be received and parsed. It lies between the protocol's minimum
+     * idle time and its maximum client wait.
+     */
+    private static final long REQUEST_TIMEOUT_US =
+            (3 * ProtocolLimits.MIN_CLIENT_IDLE_US + ProtocolLimits.MAX_CLIENT_WAIT_US) / 4;
+
+    /** The number of bytes of bodies that one turn of the event loop parses. */
+    private static final int PARSED_BYTES_PER_TURN = ProtocolLimits.MAX_BODY_BYTES / 4;
+
     /**
      * @param maxInFlight limit of lookups and parts in flight if no policy sets one
      * @param lingerUs time that the peer has to react to the end of the stream before a close
@@ -41,6 +51,7 @@
     private EventLoop.Timer slowClientTimer;
 
     private final RequestMemory requestMemory;
+    private final ParseQueue parseQueue;
 
     private boolean draining;
     /** Lookups whose deadline is later than this are not admitted. */
@@ -65,6 +76,8 @@
         this.limits = limits;
         requestMemory =
                 new RequestMemory(limits.requestHeapBytes(), limits.lingerUs(), loop::nowUs);
+        parseQueue = new ParseQueue(
+                PARSED_BYTES_PER_TURN, loop::nowUs, task -> loop.schedule(loop.nowUs() + 1, task));
     }
 
     // ---- Accepting. ----
@@ -164,17 +177,17 @@
         loop.execute(() -> network.accept(this));
     }
 
+    /** Schedules the timeout of a connection that waits for a complete request. */
+    EventLoop.Timer scheduleRequestTimeout(long sinceUs, Runnable task) {
+        return loop.schedule(sinceUs + REQUEST_TIMEOUT_US, task);
+    }
+
     /**
-     * Schedules the timeout of a connection that waits for a complete request. It lies between the protocol's
-     * minimum idle time and its maximum client wait.
+     * Schedules the timeout of a complete request that waits to be parsed: its client's own time, within the
+     * timeout for a request.
      */
-    EventLoop.Timer scheduleRequestTimeout(long sinceUs, Runnable task) {
-        return loop.schedule(
-                sinceUs
-                        + (3 * ProtocolLimits.MIN_CLIENT_IDLE_US
-                                        + ProtocolLimits.MAX_CLIENT_WAIT_US)
-                                / 4,
-                task);
+    EventLoop.Timer scheduleParseTimeout(long sinceUs, long budgetUs, Runnable task) {
+        return loop.schedule(sinceUs + Math.min(budgetUs, REQUEST_TIMEOUT_US), task);
     }
 
     /** Runs the task after bytes that were read already have been processed by the event loop. */
@@ -257,6 +270,11 @@
         return query;
     }
 
+    /** The complete requests whose bodies wait to be parsed. */
+    ParseQueue parseQueue() {
+        return parseQueue;
+    }
+
     /** Opens an account of the heap that the requests of one connection retain. */
     RequestMemory.Account openMemoryAccount(RequestMemory.Owner owner) {
         return requestMemory.open(owner);
--- a/src/main/java/tinlink/router/ClientConnection.java
+++ b/src/main/java/tinlink/router/ClientConnection.java
@@ -3,14 +3,10 @@
 import tinlink.net.CloseReason;
 import tinlink.net.Connection;
 import tinlink.net.EventLog;
-import tinlink.net.EventLoop;
-import tinlink.net.HttpReader;
-import tinlink.net.JsonReader;
 import tinlink.net.MessageRejectedException;
 import tinlink.net.ProtocolLimits;
 import tinlink.net.RingBuffer;
 
-import java.nio.ByteBuffer;
 import java.util.logging.Level;
 
 /**
@@ -19,8 +15,8 @@
  */
 final class ClientConnection
         implements Connection.Listener,
-                HttpReader.MessageListener,
                 Query.ResponseListener,
+                ParseQueue.Request,
                 RequestMemory.Owner {
     private static final EventLog LOG = new EventLog("tinlink.clients");
 
@@ -28,11 +24,13 @@
     /** The heap that this connection's request retains. */
     private final RequestMemory.Account memory;
 
-    private final HttpReader reader = HttpReader.forRequests(this);
-    private final RequestHead head;
+    /** The request that is being received or parsed. */
+    private final IncomingRequest request;
+
     private Connection connection;
     private boolean keepAlive;
-    private JsonReader body;
+    /** Whether a request has arrived completely and its body waits to be parsed. */
+    private boolean parsing;
     /** The query in flight; null if none. If the connection closes, its client has disconnected. */
     private Query query;
 
@@ -40,10 +38,9 @@
     private boolean closing;
     /** Whether any response has been written on this connection. */
     private boolean responded;
-    /** Bytes received and discarded after the last response. */
-    private int discardedBytes;
-    /** Limits the wait for a complete request; null while a query is in flight. */
-    private EventLoop.Timer requestTimer;
+
+    private final DiscardedInput discardedInput = new DiscardedInput();
+    private final RequestTimeout timeout;
 
     /** Whether the timeout was restarted for a request that has begun to arrive. */
     private boolean requestBegun;
@@ -53,7 +50,8 @@
     ClientConnection(ClientAcceptor acceptor) {
         this.acceptor = acceptor;
         memory = acceptor.openMemoryAccount(this);
-        head = new RequestHead(memory);
+        request = new IncomingRequest(memory, this::sendContinue);
+        timeout = new RequestTimeout(acceptor, this::requestTimedOut);
     }
 
     /**
@@ -71,31 +69,30 @@
      */
     void drain() {
         closing = true;
-        cancelRequestTimer();
+        timeout.stop();
         connection.halfClose();
         acceptor.closeAfterLinger(this);
     }
 
-    private void cancelRequestTimer() {
-        acceptor.cancel(requestTimer);
-        requestTimer = null;
-    }
-
     /** Starts the timeout for the next request at the given time. */
     void awaitRequest(long sinceUs) {
-        acceptor.cancel(requestTimer);
         requestBegun = false;
-        requestTimer = acceptor.scheduleRequestTimeout(sinceUs, this::requestTimedOut);
+        timeout.startForRequest(sinceUs);
     }
 
     /** Whether nothing is in flight and another request is allowed. */
     private boolean isAwaitingRequest() {
-        return query == null && !closing;
+        return query == null && !parsing && !closing;
+    }
+
+    /** Whether a request is being received or parsed. */
+    private boolean isReceiving() {
+        return parsing || (isAwaitingRequest() && !request.isAtBoundary());
     }
 
     /** Whether nothing is in flight and no part of the next request has been read. */
     private boolean isIdle() {
-        return isAwaitingRequest() && reader.isAtBoundary();
+        return isAwaitingRequest() && request.isAtBoundary();
     }
 
     Connection connection() {
@@ -105,35 +102,22 @@
     @Override
     public void bytesReceived(RingBuffer in) {
         acceptor.markBusy(this);
-        try {
+        guard(() -> {
             while (isAwaitingRequest() && in.size() > 0) {
-                reader.read(in);
+                if (request.read(in)) {
+                    requestComplete();
+                }
             }
             accountForBuffers(in);
-        } catch (MessageRejectedException e) {
-            LOG.log(Level.FINE, "request_rejected", "reason", e.getMessage());
-            respondAndClose(ClientResponse.plainText(e.status, e.getMessage()));
-        } catch (RuntimeException e) {
-            // An internal error must not leave the client without a response, and must not be
-            // reported as a rejection.
-            LOG.logFailure(Level.SEVERE, "request_failed", e);
-            Query failed = query;
-            query = null;
-            if (failed != null) {
-                acceptor.clientGone(failed);
-            }
-            respondAndClose(ClientResponse.plainText(500, "a fault of the router"));
-        }
-        if (query != null && in.size() >= ProtocolLimits.MAX_UNREAD_BYTES) {
+        });
+        if ((query != null || parsing) && in.size() >= ProtocolLimits.MAX_UNREAD_BYTES) {
             // If a client pipelines more than this, its close stays hidden behind the unread bytes,
             // and attempts would be sent for a client that has disconnected.
-            Query failed = query;
-            query = null;
-            acceptor.clientGone(failed);
+            abandonQuery();
             respondAndClose(ClientResponse.plainText(400, "too much was sent before an answer"));
         }
-        if (closing) {
-            discard(in);
+        if (closing && discardedInput.discard(in)) {
+            connection.stopReading();
         }
         if (isIdle()) {
             acceptor.markIdle(this);
@@ -146,23 +130,38 @@
         }
     }
 
-    /**
-     * Discards the bytes after the last response, since a reset would cut off the response. The amount is
-     * bounded: a client that sends endlessly would take processing time from all others.
-     */
-    private void discard(RingBuffer in) {
-        while (in.size() > 0) {
-            discardedBytes += in.takeContiguous(in.size()).remaining();
+    private interface Step {
+        void run() throws MessageRejectedException;
+    }
+
+    /** Runs a step of receiving a request, and responds to a request that fails in it. */
+    private void guard(Step step) {
+        try {
+            step.run();
+        } catch (MessageRejectedException e) {
+            LOG.log(Level.FINE, "request_rejected", "reason", e.getMessage());
+            respondAndClose(ClientResponse.plainText(e.status, e.getMessage()));
+        } catch (RuntimeException e) {
+            // An internal error must not leave the client without a response, and must not be
+            // reported as a rejection.
+            LOG.logFailure(Level.SEVERE, "request_failed", e);
+            abandonQuery();
+            respondAndClose(ClientResponse.plainText(500, "a fault of the router"));
         }
-        if (discardedBytes >= ProtocolLimits.MAX_BODY_BYTES) {
-            connection.stopReading();
+    }
+
+    private void abandonQuery() {
+        if (query != null) {
+            Query abandoned = query;
+            query = null;
+            acceptor.clientGone(abandoned);
         }
     }
 
     /** Charges the buffers of the connection, which a peer can make grow without completing a request. */
     private void accountForBuffers(RingBuffer in) throws MessageRejectedException {
-        long bytes = in.capacity() + reader.bufferedBytes();
-        if (isAwaitingRequest() && !reader.isAtBoundary()) {
+        long bytes = in.capacity() + request.bufferedBytes();
+        if (isReceiving()) {
             memory.setReceiveBuffer(bytes);
         } else {
             memory.setInputBuffer(bytes);
@@ -171,7 +170,7 @@
 
     @Override
     public void giveWayForMemory() {
-        if (isAwaitingRequest() && !reader.isAtBoundary()) {
+        if (isReceiving()) {
             // No attempt was sent, so the client can safely retry after this rejection.
             respondAndClose(ClientResponse.plainText(503, "too much is being read"));
         } else {
@@ -184,8 +183,9 @@
      * forever.
      */
     private void requestTimedOut() {
-        requestTimer = null;
-        if (!isIdle()) {
+        if (parsing) {
+            respondAndClose(ClientResponse.plainText(503, "no room for it now"));
+        } else if (!isIdle()) {
             respondAndClose(ClientResponse.plainText(408, "the request took too long"));
         } else {
             acceptor.whileReadsPaused(this::closeIdle);
@@ -194,8 +194,7 @@
 
     private void closeIdle() {
         if (connection.hasUnprocessedRead()) {
-            requestTimer = acceptor.scheduleAfterLinger(
-                    this::requestTimedOut); // Bytes of a request have just arrived.
+            timeout.startForUnprocessedRead(); // Bytes of a request have just arrived.
         } else if (responded) {
             drain();
         } else {
@@ -213,47 +212,24 @@
         respond(response);
     }
 
-    @Override
-    public void startLine(String method, String target, String version)
-            throws MessageRejectedException {
-        head.startLine(method, target, version);
-        body = null;
-    }
-
-    @Override
-    public void header(String name, String value) throws MessageRejectedException {
-        head.add(name, value);
-    }
-
-    @Override
-    public void headersEnded() throws MessageRejectedException {
-        keepAlive = head.isKeepAlive();
-        if (head.checkedKind() == RequestHead.Kind.LOOKUP) {
-            body = new JsonReader(memory);
-            if (head.expectsContinue()) {
-                connection.out().put("HTTP/1.1 100 Continue\r\n\r\n");
-                connection.scheduleWrite();
-            }
-        }
-    }
-
-    @Override
-    public void body(ByteBuffer piece) throws MessageRejectedException {
-        if (body != null) {
-            body.read(piece);
-        }
+    private void sendContinue() {
+        connection.out().put("HTTP/1.1 100 Continue\r\n\r\n");
+        connection.scheduleWrite();
     }
 
     /** Frees what was parsed from the request; the text of its lookup, if any, stays in memory. */
     private void releaseRequest(int lookupBytes) {
-        head.clear();
-        body = null;
+        request.clear();
+        if (parsing) {
+            parsing = false;
+            acceptor.parseQueue().remove(this);
+        }
         memory.received(lookupBytes);
     }
 
-    @Override
-    public void messageEnded() throws MessageRejectedException {
-        if (body == null) {
+    private void requestComplete() {
+        keepAlive = request.isKeepAlive();
+        if (!request.isLookup()) {
             releaseRequest(0);
             respond(
                     acceptor.isReady()
@@ -261,17 +237,44 @@
                             : ClientResponse.plainText(503, "not ready"));
             return;
         }
-        Query parsed = acceptor.parse(head.fields(), body, this, requestedAtUs);
+        parsing = true;
+        requestedAtUs = Math.min(requestedAtUs, acceptor.nowUs());
+        acceptor.requestReceived(this);
+        acceptor.parseQueue().submit(this);
+        if (parsing) {
+            timeout.startForParsing(requestedAtUs, QueryParser.budgetUs(request.headerFields()));
+        }
+    }
+
+    @Override
+    public int unparsedBytes() {
+        return request.unparsedBytes();
+    }
+
+    @Override
+    public int parseNext(int maxBytes) {
+        int unparsedBefore = unparsedBytes();
+        guard(() -> {
+            request.parse(maxBytes);
+            if (unparsedBytes() == 0) {
+                admitParsed();
+            }
+        });
+        return Math.min(maxBytes, unparsedBefore);
+    }
+
+    private void admitParsed() throws MessageRejectedException {
+        Query parsed = acceptor.parse(request.headerFields(), request.json(), this, requestedAtUs);
         requestedAtUs = Long.MAX_VALUE;
         releaseRequest(parsed.text.length);
         if (!acceptor.hasCapacity(parsed)) {
             // No attempt was sent, so the client can safely retry after this rejection.
             respond(ClientResponse.plainText(503, "no room for it now"));
+            resumeReadingSoon();
             return;
         }
         query = parsed;
-        acceptor.requestReceived(this);
-        cancelRequestTimer();
+        timeout.stop();
         acceptor.admit(parsed);
     }
 
@@ -300,9 +303,14 @@
         if (query == ended) {
             query = null;
             respond(response);
-            if (!closing) {
-                acceptor.resumeReadingSoon(this); // Pipelined bytes are read in the next turn.
-            }
+            resumeReadingSoon();
+        }
+    }
+
+    /** Reads the pipelined bytes in the next turn. */
+    private void resumeReadingSoon() {
+        if (!closing) {
+            acceptor.resumeReadingSoon(this);
         }
     }
 
@@ -313,7 +321,7 @@
         memory.responseBuffered(connection.out().capacity());
         connection.scheduleWrite();
         if (closing) {
-            cancelRequestTimer();
+            timeout.stop();
             acceptor.closeAfterLinger(this);
         } else {
             awaitRequest(acceptor.nowUs());
@@ -332,12 +340,9 @@
     public void connectionClosed(CloseReason closeReason) {
         LOG.log(Level.FINE, "client_connection_closed", "reason", closeReason);
         acceptor.clientClosed(this);
-        acceptor.cancel(requestTimer);
+        timeout.stop();
+        releaseRequest(0);
         memory.release();
-        if (query != null) {
-            Query abandoned = query;
-            query = null;
-            acceptor.clientGone(abandoned);
-        }
+        abandonQuery();
     }
 }
--- a/src/main/java/tinlink/router/QueryParser.java
+++ b/src/main/java/tinlink/router/QueryParser.java
@@ -68,6 +68,14 @@
         return query;
     }
 
+    /** The time that the client waits, in microseconds; the longest there is if it is not given. */
+    static long budgetUs(Map<String, String> headers) {
+        String budgetMs = headers.get("x-budget-ms");
+        return budgetMs == null || !BUDGET_MS.matcher(budgetMs).matches()
+                ? Long.MAX_VALUE
+                : 1000 * Long.parseLong(budgetMs);
+    }
+
     /**
      * Makes a lookup with a single part out of a part that another site forwarded.
      *
--- a/src/main/java/tinlink/router/RequestMemory.java
+++ b/src/main/java/tinlink/router/RequestMemory.java
@@ -61,6 +61,8 @@
         private long parsedBytes;
         private long inputBufferBytes;
         private long outputBufferBytes;
+        /** Whether the account is in {@link #receiving}. */
+        private boolean isReceiving;
         /** When the request began to arrive or the response was written. */
         private long sinceUs;
 
@@ -92,14 +94,14 @@
 
         /** Sets the size of the input buffers while a lookup is in flight or nothing is expected. */
         void setInputBuffer(long bytes) {
-            receiving.remove(this);
+            stopReceiving();
             replaceInputBuffer(bytes);
             makeRoom(this);
         }
 
         /** The request is complete, and a lookup that retains that many bytes is in flight. */
         void received(long lookupBytes) {
-            receiving.remove(this);
+            stopReceiving();
             retainedBytes += lookupBytes - parsedBytes;
             parsedBytes = lookupBytes;
         }
@@ -127,16 +129,25 @@
         }
 
         private void receive() throws MessageRejectedException {
-            if (receiving.add(this)) {
+            if (!isReceiving) {
+                isReceiving = true;
+                receiving.add(this);
                 sinceUs = clock.getAsLong();
             }
             makeRoom(this);
-            if (!receiving.contains(this)) {
+            if (!isReceiving) {
                 // No attempt was sent, so the client can safely retry after this rejection.
                 throw new MessageRejectedException(503, "too much is being read");
             }
         }
 
+        private void stopReceiving() {
+            if (isReceiving) {
+                isReceiving = false;
+                receiving.remove(this);
+            }
+        }
+
         private void replaceInputBuffer(long bytes) {
             retainedBytes += bytes - inputBufferBytes;
             inputBufferBytes = bytes;
@@ -154,8 +165,8 @@
 
     /** @param growing the account that has just grown; if it has to give way, it is only removed here */
     private void makeRoom(Account growing) {
-        if (makingRoom) {
-            return; // Called for the response to a rejected request.
+        if (retainedBytes <= limitBytes || makingRoom) {
+            return; // While room is being made, this is the response to a rejected request.
         }
         makingRoom = true;
         try {
@@ -176,7 +187,7 @@
 
     private void giveWay(Account victim, Account growing) {
         LOG.log(Level.FINE, "gave_way_for_memory", "bytes", victim.retained());
-        receiving.remove(victim);
+        victim.stopReceiving();
         responding.remove(victim);
         if (victim != growing) {
             victim.owner.giveWayForMemory();
--- a/src/test/java/tinlink/net/RequestShapes.java
+++ b/src/test/java/tinlink/net/RequestShapes.java
@@ -1,6 +1,7 @@
 package tinlink.net;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.SplittableRandom;
 
 /**
@@ -55,8 +56,7 @@
 
     /** Returns a request of that shape that lacks its last byte. */
     public byte[] incompleteRequest(Shape shape) {
-        String head = "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: " + random.nextInt(1 << 30)
-                + "\r\nX-Call-Class: find\r\nX-Budget-Ms: 3000\r\n";
+        String head = lookupHead();
         return switch (shape) {
             case MANY_FIELDS -> latin1(head + manyFields());
             case LONG_FIELD -> latin1(head + "A: " + "b".repeat(HEAD_BYTES - head.length()));
@@ -65,6 +65,11 @@
         };
     }
 
+    private String lookupHead() {
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: " + random.nextInt(1 << 30)
+                + "\r\nX-Call-Class: find\r\nX-Budget-Ms: 3000\r\n";
+    }
+
     private byte[] withBody(String head, String body) {
         byte[] content = body.getBytes(StandardCharsets.UTF_8);
         byte[] start = latin1(
@@ -78,6 +83,24 @@
         return request;
     }
 
+    /** Returns a whole request with a body of that shape, which is no lookup. */
+    public byte[] requestOfWholeBody(Shape shape) {
+        byte[] request = incompleteRequest(shape);
+        byte[] end = latin1("!\r\n0\r\n\r\n"); // The last byte of the body, and the end of chunks.
+        byte[] whole = Arrays.copyOf(request, request.length + end.length);
+        System.arraycopy(end, 0, whole, request.length, end.length);
+        return whole;
+    }
+
+    /** Returns a request whose body comes in chunks of one byte, and which lacks its end. */
+    public byte[] requestInTinyChunks() {
+        StringBuilder request = new StringBuilder(lookupHead());
+        request.append("Transfer-Encoding: chunked\r\n\r\n");
+        String body = incompleteBody(Shape.NUMBERS, BODY_BYTES);
+        body.chars().forEach(c -> request.append("1\r\n").append((char) c).append("\r\n"));
+        return latin1(request.toString());
+    }
+
     /** Returns a lookup's body of that shape, of about that length, that lacks its end. */
     public String incompleteBody(Shape shape, int maxBytes) {
         StringBuilder body = new StringBuilder(
