Clients: only the ids of lookups of which anything was sent are kept after their end

Cause: QueriesInFlight kept the id of each lookup that ended. Change: DecisionDriver marks a query when it takes an attempt for it, and only the ids of those are kept; no data node knows the others.

--- a/src/main/java/tinlink/router/DecisionDriver.java
+++ b/src/main/java/tinlink/router/DecisionDriver.java
@@ -231,6 +231,7 @@
     @Override
     public void send(Attempt attempt, long timeoutUs) {
         long deadlineUs = loop.nowUs() + timeoutUs;
+        ((QueryPart) attempt.part).query().attempted = true;
         pendingActions.add(() -> dispatcher.send(attempt, deadlineUs));
     }
 
--- a/src/main/java/tinlink/router/QueriesInFlight.java
+++ b/src/main/java/tinlink/router/QueriesInFlight.java
@@ -13,7 +13,10 @@
 final class QueriesInFlight {
     /** By call id; a query is removed when it is answered or its client disconnects. */
     private final Map<String, Query> queries = new HashMap<>();
-    /** End times by call id, oldest first; an entry is removed after {@link #callIdRetentionUs}. */
+    /**
+     * End times by call id of the queries with attempts, oldest first; an entry is removed after {@link
+     * #callIdRetentionUs}.
+     */
     private final Map<String, Long> endedAtUs = new LinkedHashMap<>();
 
     private final long callIdRetentionUs;
@@ -25,7 +28,7 @@
         this.callIdRetentionUs = callIdRetentionUs;
     }
 
-    /** Whether a query with this call id is in flight or ended recently. */
+    /** Whether a query with this call id is in flight, or had attempts and ended recently. */
     boolean isKnown(String callId, long nowUs) {
         long expiryUs = nowUs - callIdRetentionUs;
         for (Iterator<Long> ended = endedAtUs.values().iterator();
@@ -40,11 +43,17 @@
         parts += query.announcedParts;
     }
 
-    /** Removes an ended query and keeps its call id for a while; no effect if it is not in flight. */
+    /**
+     * Removes an ended query; no effect if it is not in flight. Its call id is kept for a while if any
+     * attempt was sent. Otherwise no data node knows the id: its client may use it again, and a client that
+     * is rejected at full speed under ever new ids would fill the heap with them.
+     */
     void remove(Query query, long nowUs) {
         if (queries.remove(query.callId, query)) {
             parts -= query.announcedParts;
-            endedAtUs.put(query.callId, nowUs);
+            if (query.attempted) {
+                endedAtUs.put(query.callId, nowUs);
+            }
         }
     }
 
--- a/src/main/java/tinlink/router/Query.java
+++ b/src/main/java/tinlink/router/Query.java
@@ -34,6 +34,8 @@
      * received.
      */
     long remoteRetryAfterUs;
+    /** Whether any attempt of this query may have been sent. */
+    boolean attempted;
     /** The forwarded part that this query was created for; null for a query of a client. */
     Object remoteOrigin;
 
