Clients: a closed connection does not stay in memory for the longest deadline

What callers saw: one client that is rejected and connects again at full speed makes the heap grow by each connection.

Change: the timer is cancelled when its connection is closed.

--- a/src/main/java/tinlink/router/ClientAcceptor.java
+++ b/src/main/java/tinlink/router/ClientAcceptor.java
@@ -12,6 +12,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.logging.Level;
 
@@ -50,6 +51,13 @@
     /** Fires when the oldest incomplete request may be closed; null if no descriptor is needed. */
     private EventLoop.Timer slowClientTimer;
 
+    /**
+     * The timers that close connections after their last response. A timer is cancelled when its connection
+     * is closed: it would keep the connection in memory, and clients that come back at full speed after each
+     * rejection would fill the heap with them.
+     */
+    private final Map<ClientConnection, EventLoop.Timer> lingerTimers = new HashMap<>();
+
     private final RequestMemory requestMemory;
     private final ParseQueue parseQueue;
 
@@ -173,6 +181,7 @@
 
     void clientClosed(ClientConnection client) {
         clients.closed(client);
+        loop.cancel(lingerTimers.remove(client));
         descriptors.clientClosed();
         loop.execute(() -> network.accept(this));
     }
@@ -210,13 +219,17 @@
     }
 
     private void closeAfterLinger(ClientConnection client, long deadlineUs) {
-        loop.schedule(loop.nowUs() + limits.lingerUs(), () -> {
+        if (client.connection().isClosed()) {
+            return;
+        }
+        EventLoop.Timer timer = loop.schedule(loop.nowUs() + limits.lingerUs(), () -> {
             if (client.connection().isIdle() || loop.nowUs() >= deadlineUs) {
                 client.connection().close(CloseReason.COMPLETED);
             } else {
                 closeAfterLinger(client, deadlineUs);
             }
         });
+        lingerTimers.put(client, timer);
     }
 
     void resumeReadingSoon(ClientConnection client) {
--- a/src/test/java/tinlink/experiment/processes/RouterUnderTest.java
+++ b/src/test/java/tinlink/experiment/processes/RouterUnderTest.java
@@ -1,6 +1,7 @@
 package tinlink.experiment.processes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import tinlink.emulator.EmulatedClient;
 import tinlink.emulator.EmulatedNode;
@@ -10,6 +11,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -73,6 +75,24 @@
         return process.output();
     }
 
+    /** The number of live objects of that class in the router's heap, after a collection. */
+    long liveInstances(String className) throws IOException {
+        Process histogram = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                        Long.toString(process.pid()),
+                        "GC.class_histogram")
+                .start();
+        String output =
+                new String(histogram.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(output.contains("java.lang.String"), output);
+        // Each line has a rank, the number of instances, their bytes and the class.
+        return output.lines()
+                .map(line -> line.trim().split("\\s+"))
+                .filter(fields -> fields.length > 3 && fields[3].equals(className))
+                .mapToLong(fields -> Long.parseLong(fields[1]))
+                .sum();
+    }
+
     /** Sends a lookup of the usual client. */
     CompletableFuture<EmulatedClient.LookupResponse> lookup(String callId, long budgetMs) {
         CompletableFuture<EmulatedClient.LookupResponse> response = new CompletableFuture<>();
