--- a/src/main/java/tinlink/http2/Http2Connection.java
+++ b/src/main/java/tinlink/http2/Http2Connection.java
@@ -26,6 +26,7 @@
     private final HeaderCodec headerCodec = new HeaderCodec();
     private final HeaderBlockReader headerBlockReader = new HeaderBlockReader(headerCodec);
     private final UselessFrameBudget uselessFrameBudget = new UselessFrameBudget();
+    private long completedFrames;
     private final ResponseReader responseReader = new ResponseReader(uselessFrameBudget);
     private final StreamTable streamTable;
     private final SendWindow sendWindow;
@@ -106,6 +107,11 @@
         return parser.isAtFrameBoundary() && !headerBlockReader.isInProgress();
     }
 
+    /** The number of frames, those of a header block counted as one, that have been received completely. */
+    long completedFrames() {
+        return completedFrames;
+    }
+
     // ---- Receiving. ----
 
     /**
@@ -141,6 +147,9 @@
                 onHeaderBlock(headerBlockReader.continuation(flags, payload));
             default -> uselessFrameBudget.spend(); // Unknown frames are ignored.
         }
+        if (!headerBlockReader.isInProgress()) {
+            completedFrames++;
+        }
     }
 
     private static boolean isAck(int flags) {
--- a/src/main/java/tinlink/http2/Http2NodeClient.java
+++ b/src/main/java/tinlink/http2/Http2NodeClient.java
@@ -10,6 +10,7 @@
 import tinlink.net.Connection;
 import tinlink.net.Counters;
 import tinlink.net.EventLoop;
+import tinlink.net.FrameTimeout;
 import tinlink.net.Network;
 
 import java.io.IOException;
@@ -232,9 +233,9 @@
         loop.cancel(timer);
     }
 
-    /** Schedules the task after the connect timeout; the caller cancels it when a partial frame completes. */
-    EventLoop.Timer startStallTimer(Runnable task) {
-        return loop.schedule(loop.nowUs() + settings.connectTimeoutUs(), task);
+    /** Returns a timeout for the rest of a frame, which has to arrive within the connect timeout. */
+    FrameTimeout newFrameTimeout(Runnable task) {
+        return new FrameTimeout(loop, settings.connectTimeoutUs(), task);
     }
 
     /** Schedules the task for the time from which the rest of the request may not be sent. */
--- a/src/main/java/tinlink/http2/Http2NodeConnection.java
+++ b/src/main/java/tinlink/http2/Http2NodeConnection.java
@@ -5,6 +5,7 @@
 import tinlink.net.CloseReason;
 import tinlink.net.Connection;
 import tinlink.net.EventLoop;
+import tinlink.net.FrameTimeout;
 import tinlink.net.RingBuffer;
 
 import java.util.ArrayList;
@@ -24,8 +25,8 @@
     private final Http2Connection http2;
     private Connection connection;
     private EventLoop.Timer connectTimer;
-    /** Set while a frame or a header block is incomplete; closes the connection when it expires. */
-    private EventLoop.Timer stallTimer;
+    /** Closes the connection if a frame or a header block, which blocks all streams, stays incomplete. */
+    private final FrameTimeout frameTimeout;
 
     /** Whether the connection was established. */
     private boolean wasUp;
@@ -38,6 +39,7 @@
         this.nodeClient = nodeClient;
         this.pooled = pooled;
         http2 = new Http2Connection(bytes -> connection.out().put(bytes), this, maxResetIds);
+        frameTimeout = nodeClient.newFrameTimeout(() -> close(CloseReason.PROTOCOL_ERROR));
     }
 
     void attach(Connection connection, EventLoop.Timer connectTimer) {
@@ -140,7 +142,7 @@
             fail(e);
         }
         if (!protocolFailed && !connection.isClosed()) {
-            watchForStall();
+            frameTimeout.bytesRead(http2.completedFrames(), http2.isAtFrameBoundary());
         }
     }
 
@@ -158,18 +160,6 @@
         nodeClient.runSoon(() -> connection.close(CloseReason.PROTOCOL_ERROR));
     }
 
-    /** Starts or stops the stall timer: an incomplete frame blocks all streams of the connection. */
-    private void watchForStall() {
-        boolean atBoundary = http2.isAtFrameBoundary();
-        if (atBoundary != (stallTimer == null)) {
-            nodeClient.cancelTimer(stallTimer);
-            stallTimer = atBoundary
-                    ? null
-                    : nodeClient.startStallTimer(
-                            () -> connection.close(CloseReason.PROTOCOL_ERROR));
-        }
-    }
-
     // ---- Results of streams. ----
 
     @Override
@@ -217,7 +207,7 @@
     @Override
     public void connectionClosed(CloseReason closeReason) {
         nodeClient.cancelTimer(connectTimer);
-        nodeClient.cancelTimer(stallTimer);
+        frameTimeout.stop();
         List<PartRequest> interrupted = new ArrayList<>();
         http2.openStreams().stream()
                 .filter(stream -> !stream.abandoned)
--- a/src/main/java/tinlink/net/FrameReader.java
+++ b/src/main/java/tinlink/net/FrameReader.java
@@ -33,6 +33,8 @@
     /** The fields of the current answer's line once the line is complete, otherwise null. */
     private String[] answerLine;
 
+    private long completedFrames;
+
     public FrameReader(FrameListener listener) {
         this.listener = listener;
     }
@@ -42,6 +44,11 @@
         return prefixBytes == 0;
     }
 
+    /** Returns the number of frames that have been read completely. */
+    public long completedFrames() {
+        return completedFrames;
+    }
+
     public void read(RingBuffer in) throws MessageRejectedException {
         while (in.size() > 0) {
             if (prefixBytes < 4) {
@@ -68,6 +75,7 @@
                     frameLength = 0;
                     frame = null;
                     answerLine = null;
+                    completedFrames++;
                     frameCompleted(completed, fields);
                 }
             }
--- a/src/main/java/tinlink/router/NodeConnection.java
+++ b/src/main/java/tinlink/router/NodeConnection.java
@@ -7,6 +7,7 @@
 import tinlink.net.EventLog;
 import tinlink.net.EventLoop;
 import tinlink.net.FrameReader;
+import tinlink.net.FrameTimeout;
 import tinlink.net.MessageRejectedException;
 import tinlink.net.RingBuffer;
 
@@ -57,10 +58,10 @@
      */
     private EventLoop.Timer idleTimer;
     /**
-     * The timer that closes the connection if the rest of a partly received frame doesn't arrive within the
-     * connect timeout; null while no frame is partly received.
+     * Closes the connection if the rest of a partly received frame doesn't arrive within the connect timeout:
+     * it would block every attempt in flight on the connection until its deadline.
      */
-    private EventLoop.Timer frameTimer;
+    private final FrameTimeout frameTimeout;
 
     NodeConnection(
             NodeConnections connections, AttemptDispatcher dispatcher, NodeEndpoint endpoint) {
@@ -69,6 +70,7 @@
         this.endpoint = endpoint;
         awaited = new AwaitedAnswers(connections.callsPerConnection());
         lastUsedUs = connections.nowUs();
+        frameTimeout = connections.newFrameTimeout(() -> close(CloseReason.PROTOCOL_ERROR));
     }
 
     void attach(Connection connection, EventLoop.Timer connectTimer) {
@@ -245,15 +247,8 @@
                     e.getMessage());
             connection.close(CloseReason.PROTOCOL_ERROR);
         }
-        if (reader.isAtBoundary() != (frameTimer == null)) {
-            connections.cancelTimer(frameTimer);
-            // Without the timer, a frame that stops in the middle would block every attempt in
-            // flight on this connection until its deadline.
-            frameTimer = reader.isAtBoundary() || connection.isClosed()
-                    ? null
-                    : connections.scheduleFrameTimeout(
-                            () -> connection.close(CloseReason.PROTOCOL_ERROR));
-        }
+        frameTimeout.bytesRead(
+                reader.completedFrames(), reader.isAtBoundary() || connection.isClosed());
     }
 
     /**
@@ -299,7 +294,7 @@
     public void connectionClosed(CloseReason closeReason) {
         connections.cancelTimer(connectTimer);
         connections.cancelTimer(idleTimer);
-        connections.cancelTimer(frameTimer);
+        frameTimeout.stop();
         LOG.log(
                 Level.FINE,
                 "node_connection_closed",
--- a/src/main/java/tinlink/router/NodeConnections.java
+++ b/src/main/java/tinlink/router/NodeConnections.java
@@ -6,6 +6,7 @@
 import tinlink.net.Connection;
 import tinlink.net.EventLog;
 import tinlink.net.EventLoop;
+import tinlink.net.FrameTimeout;
 import tinlink.net.Network;
 
 import java.io.IOException;
@@ -81,9 +82,9 @@
         return loop.nowUs();
     }
 
-    /** Starts a timer for the rest of a frame, which has to arrive within the connect timeout. */
-    EventLoop.Timer scheduleFrameTimeout(Runnable task) {
-        return loop.schedule(nowUs() + settings.connectTimeoutUs(), task);
+    /** Returns a timeout for the rest of a frame, which has to arrive within the connect timeout. */
+    FrameTimeout newFrameTimeout(Runnable task) {
+        return new FrameTimeout(loop, settings.connectTimeoutUs(), task);
     }
 
     /**
--- a/src/main/java/tinlink/securechannel/FrameReader.java
+++ b/src/main/java/tinlink/securechannel/FrameReader.java
@@ -33,6 +33,8 @@
     /** The current frame without its length field; null until the length field is complete. */
     private ByteBuffer frame;
 
+    private long completedFrames;
+
     /**
      * Creates a reader. Lengths are in bytes and don't include the length field.
      *
@@ -57,6 +59,11 @@
         return lengthBytesRead == 0;
     }
 
+    /** Returns the number of frames that have been read completely. */
+    long completedFrames() {
+        return completedFrames;
+    }
+
     /**
      * Consumes all received bytes.
      *
@@ -73,6 +80,7 @@
                     lengthBytesRead = 0;
                     length = 0;
                     frame = null;
+                    completedFrames++;
                     handler.onFrame(complete[0], complete);
                 }
             }
--- a/src/main/java/tinlink/securechannel/SecureSession.java
+++ b/src/main/java/tinlink/securechannel/SecureSession.java
@@ -3,6 +3,7 @@
 import tinlink.net.CloseReason;
 import tinlink.net.Connection;
 import tinlink.net.EventLoop;
+import tinlink.net.FrameTimeout;
 import tinlink.net.MessageRejectedException;
 import tinlink.net.RingBuffer;
 
@@ -22,17 +23,18 @@
 
     private final EventLoop loop;
     private final FrameReader frameReader;
-    private final long messageTimeoutUs;
+    /** Closes the connection if a frame is not completed in time; used once both are authenticated. */
+    private final FrameTimeout frameTimeout;
     /** The connection; null until {@link #attach}. */
     protected Connection connection;
 
     /** Authenticators of the frames; null until both sides are authenticated. */
     private SessionAuthenticators authenticators;
     /**
-     * Closes the connection if the next message of the handshake is late or, once both sides are
-     * authenticated, if a frame is not completed in time. Null while neither is awaited.
+     * Closes the connection if the next message of the handshake is late; null before the connection is
+     * attached, and once both sides are authenticated.
      */
-    private EventLoop.Timer deadline;
+    private EventLoop.Timer handshakeTimer;
 
     /**
      * Creates a session without a connection. Lengths are in bytes and don't include the length
@@ -49,7 +51,8 @@
             int maxHandshakeLength,
             int maxAuthenticatedLength) {
         this.loop = loop;
-        this.messageTimeoutUs = messageTimeoutUs;
+        frameTimeout =
+                new FrameTimeout(loop, messageTimeoutUs, () -> close(CloseReason.PROTOCOL_ERROR));
         frameReader = new FrameReader(this, maxHandshakeLength, maxAuthenticatedLength);
     }
 
@@ -66,17 +69,9 @@
 
     /** Requires the next message of the handshake within that time from now, microseconds. */
     protected void restartHandshakeDeadline(long handshakeTimeoutUs) {
-        closeAfter(handshakeTimeoutUs, CloseReason.CONNECT_TIMEOUT);
-    }
-
-    private void closeAfter(long timeoutUs, CloseReason closeReason) {
-        loop.cancel(deadline);
-        deadline = loop.schedule(loop.nowUs() + timeoutUs, () -> connection.close(closeReason));
-    }
-
-    private void cancelDeadline() {
-        loop.cancel(deadline);
-        deadline = null;
+        loop.cancel(handshakeTimer);
+        handshakeTimer = loop.schedule(
+                loop.nowUs() + handshakeTimeoutUs, () -> close(CloseReason.CONNECT_TIMEOUT));
     }
 
     /**
@@ -88,7 +83,8 @@
     protected void enableAuthentication(byte[] secret, boolean initiator) {
         authenticators = SessionAuthenticators.derive(secret, initiator);
         frameReader.peerAuthenticated();
-        cancelDeadline();
+        loop.cancel(handshakeTimer);
+        handshakeTimer = null;
     }
 
     /** Closes the connection, if there is one. */
@@ -136,14 +132,9 @@
             incrementCounter("malformed");
             connection.close(CloseReason.PROTOCOL_ERROR);
         }
-        if (isAuthenticated() && frameReader.isAtFrameBoundary() != (deadline == null)) {
-            if (frameReader.isAtFrameBoundary()) {
-                cancelDeadline();
-            } else {
-                // A frame that is never completed blocks all frames behind it. It may be truncated,
-                // or its length field may have been modified in transit.
-                closeAfter(messageTimeoutUs, CloseReason.PROTOCOL_ERROR);
-            }
+        if (isAuthenticated()) {
+            // The length of a frame that is never completed may have been modified in transit.
+            frameTimeout.bytesRead(frameReader.completedFrames(), frameReader.isAtFrameBoundary());
         }
     }
 
@@ -175,7 +166,8 @@
 
     @Override
     public void connectionClosed(CloseReason closeReason) {
-        loop.cancel(deadline);
+        loop.cancel(handshakeTimer);
+        frameTimeout.stop();
         onClosed(closeReason);
     }
 
--- a/src/test/java/tinlink/experiment/processes/LeavingClientTest.java
+++ b/src/test/java/tinlink/experiment/processes/LeavingClientTest.java
@@ -24,7 +24,7 @@
     /** Time for whatever is in flight to end. */
     private static final long SETTLE_MS = 500;
 
-    /** Guards against requests that are sent on after their client has left, and against ids that run twice. */
+    /** Guards against requests that are sent on after their client has left, and ids that run twice. */
     @Test
     @Timeout(60)
     void requestsBehindTheFirstAreNotSentForAClientThatHasLeft(@TempDir Path folder)
--- a/src/test/java/tinlink/experiment/processes/OneClientFloodTest.java
+++ b/src/test/java/tinlink/experiment/processes/OneClientFloodTest.java
@@ -23,7 +23,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntFunction;
 
-/** One client that sends small requests at full speed, beside usual clients that get their answers in time. */
+/** One client that sends small requests at full speed, beside usual clients that are answered in time. */
 class OneClientFloodTest {
     private static final long SEED = 63;
     /** Requests that the client sends before it reads the responses to them. */
