--- a/src/main/java/tinlink/gateway/Gateway.java
+++ b/src/main/java/tinlink/gateway/Gateway.java
@@ -231,8 +231,8 @@
         server.startDraining();
     }
 
-    /** Whether no part of another site is running on this router. */
+    /** Whether no part of another site is running on this router, and all answers have left it. */
     public boolean isIdle() {
-        return server.receiver().running() == 0;
+        return server.isIdle();
     }
 }
--- a/src/main/java/tinlink/gateway/GatewayServer.java
+++ b/src/main/java/tinlink/gateway/GatewayServer.java
@@ -118,6 +118,16 @@
         session.send(new GatewayMessage.GoAway(receiver.lastStarted(session.channel())));
     }
 
+    /**
+     * Whether no part is running, and all answers have left. Answers that are forgotten because they are too
+     * many may still be buffered.
+     */
+    boolean isIdle() {
+        return receiver.isIdle()
+                && authenticated.keySet().stream()
+                        .allMatch(session -> session.outboundBacklogBytes() == 0);
+    }
+
     // ---- Connections. ----
 
     void listen(InetSocketAddress address) throws IOException {
--- a/src/main/java/tinlink/gateway/forwarding/ForwardedPartReceiver.java
+++ b/src/main/java/tinlink/gateway/forwarding/ForwardedPartReceiver.java
@@ -219,6 +219,15 @@
         return running;
     }
 
+    /**
+     * Whether no part is running, and no connected router may still need the answer to one: an answer that
+     * waits for the link would be lost if this process ended.
+     */
+    public boolean isIdle() {
+        return running == 0
+                && channels.all().stream().noneMatch(InboundChannel::awaitsAcknowledgement);
+    }
+
     /** The highest number of a part of the channel that was started or rejected. */
     public long lastStarted(InboundChannel channel) {
         return channel.lastStarted();
--- a/src/main/java/tinlink/gateway/forwarding/InboundChannel.java
+++ b/src/main/java/tinlink/gateway/forwarding/InboundChannel.java
@@ -147,6 +147,11 @@
         return parts.get(part.number) == part;
     }
 
+    /** Whether the router is connected and may still need the answer to any part. */
+    boolean awaitsAcknowledgement() {
+        return statusSession != null && !parts.isEmpty();
+    }
+
     /** A copy of the list of remembered parts, in the order of their numbers. */
     List<ReceivedPart> parts() {
         return List.copyOf(parts.values());
--- a/src/main/java/tinlink/net/FrameTimeout.java
+++ b/src/main/java/tinlink/net/FrameTimeout.java
@@ -1,9 +1,9 @@
 package tinlink.net;
 
 /**
- * Limits the time within which a frame that has begun to arrive has to be complete; a frame that stops half-way
- * blocks all frames behind it. Each frame has the full time: a peer that sends frame after frame in pieces is
- * not slow, although every read may end within a frame. Event loop thread only.
+ * Limits the time within which a frame that has begun to arrive has to be complete; a frame that stops
+ * half-way blocks all frames behind it. Each frame has the full time: a peer that sends frame after frame in
+ * pieces is not slow, although every read may end within a frame. Event loop thread only.
  */
 public final class FrameTimeout {
     private final EventLoop loop;
--- a/src/main/java/tinlink/router/MaintenanceDrain.java
+++ b/src/main/java/tinlink/router/MaintenanceDrain.java
@@ -69,11 +69,12 @@
     }
 
     /**
-     * The number of clients and lookups that the drain waits for, and one while new ones are accepted. A part
-     * of another site is a lookup here.
+     * The number of clients and lookups that the drain waits for, one while new ones are accepted, and one
+     * while answers for other sites have not left. A part of another site is a lookup here.
      */
     int workInFlight() {
         return (acceptingStopped ? 0 : 1)
+                + (gateway == null || gateway.isIdle() ? 0 : 1)
                 + pipeline.acceptor.clients()
                 + pipeline.driver.inFlight();
     }
--- a/src/test/java/tinlink/gateway/forwarding/ForwardingPlayer.java
+++ b/src/test/java/tinlink/gateway/forwarding/ForwardingPlayer.java
@@ -1,6 +1,8 @@
 package tinlink.gateway.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import tinlink.Scenarios;
 
@@ -49,6 +51,8 @@
             "asks",
             "leaves",
             "pauses",
+            "busy",
+            "idle",
             "resumes");
 
     private record Timer(long at, Runnable task) {}
@@ -237,6 +241,8 @@
                                 .map(Long::parseLong)
                                 .collect(Collectors.toSet()));
             case "leaves", "pauses" -> receiver.startDraining();
+            case "idle" -> assertTrue(receiver.isIdle(), "parts run, or answers may not have left");
+            case "busy" -> assertFalse(receiver.isIdle(), "no answer is left to be told");
             case "resumes" -> receiver.resume();
             default -> throw new IllegalArgumentException("unknown input '" + name + "'");
         }
