--- a/src/main/java/tinlink/net/HttpReader.java
+++ b/src/main/java/tinlink/net/HttpReader.java
@@ -260,8 +260,8 @@
     private static long parseHex(String digits) throws MessageRejectedException {
         long number = 0;
         for (int i = 0; i < digits.length(); i++) {
-            char c = digits.charAt(i);
-            int digit = c < 0x80 ? Character.digit(c, 16) : -1;
+            char character = digits.charAt(i);
+            int digit = character < 0x80 ? Character.digit(character, 16) : -1;
             if (digit < 0 || i == MAX_CHUNK_SIZE_DIGITS) {
                 throw new MessageRejectedException("a chunk has no size");
             }
--- a/src/main/java/tinlink/router/DiscardedInput.java
+++ b/src/main/java/tinlink/router/DiscardedInput.java
@@ -11,9 +11,9 @@
     private int discardedBytes;
 
     /** Empties the buffer. @return whether no more bytes are to be read */
-    boolean discard(RingBuffer in) {
-        while (in.size() > 0) {
-            discardedBytes += in.takeContiguous(in.size()).remaining();
+    boolean discard(RingBuffer input) {
+        while (input.size() > 0) {
+            discardedBytes += input.takeContiguous(input.size()).remaining();
         }
         return discardedBytes >= ProtocolLimits.MAX_BODY_BYTES;
     }
--- a/src/main/java/tinlink/router/IncomingRequest.java
+++ b/src/main/java/tinlink/router/IncomingRequest.java
@@ -36,9 +36,9 @@
      *
      * @return whether a request is complete
      */
-    boolean read(RingBuffer in) throws MessageRejectedException {
+    boolean read(RingBuffer input) throws MessageRejectedException {
         complete = false;
-        reader.read(in);
+        reader.read(input);
         return complete;
     }
 
--- a/src/test/java/tinlink/experiment/processes/OneClientFloodTest.java
+++ b/src/test/java/tinlink/experiment/processes/OneClientFloodTest.java
@@ -112,11 +112,11 @@
             batch.append(requests.apply(first + i));
         }
         client.getOutputStream().write(batch.toString().getBytes(StandardCharsets.US_ASCII));
-        InputStream in = client.getInputStream();
+        InputStream responses = client.getInputStream();
         byte[] buffer = new byte[READ_BYTES];
         StringBuilder received = new StringBuilder();
         while (received.toString().split("HTTP/1.1 ", -1).length <= PIPELINED) {
-            int count = in.read(buffer);
+            int count = responses.read(buffer);
             if (count < 0) {
                 return false;
             }
